--- /dev/null
+++ b/Libraries/LibConfig/estate.h
@@ -0,0 +1,49 @@
+// The platform's list of VMs: workers and entry VMs, live and leaving.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "LibConfig/json_document.h"
+#include "LibCore/endpoint.h"
+#include "LibCore/enum_names.h"
+
+namespace mustardbank {
+
+enum class VmRole { kWorker, kEntry };
+inline constexpr EnumNames<VmRole, 2> kVmRoleNames{{"worker", "entry"}};
+
+enum class VmState { kLive, kLeaving, kGone };
+inline constexpr EnumNames<VmState, 3> kVmStateNames{
+    {"live", "leaving", "gone"}};
+
+struct VmRecord {
+  std::string name;
+  VmRole role = VmRole::kWorker;
+  VmState state = VmState::kLive;
+  std::string data_center;
+  std::string rack;
+  Endpoint endpoint;
+  std::uint32_t slots = 8;
+  std::uint32_t connections = 64;
+  std::uint32_t cores = 1;
+  std::uint32_t memory_gb = 1;
+  std::uint32_t accelerators = 0;
+};
+
+struct Estate {
+  std::uint64_t version = 0;
+  std::map<std::string, VmRecord, std::less<>> vms;
+
+  // Reads the platform's JSON; fails with ConfigError.
+  static boost::leaf::result<Estate> Parse(std::string_view text);
+  std::string ToJson() const;
+
+  // Takes in a later list that names only the VMs that changed.
+  void Merge(Estate&& changes);
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibConfig/json_reader.cc
@@ -0,0 +1,175 @@
+#include "LibConfig/json_reader.h"
+
+namespace json = boost::json;
+
+namespace mustardbank {
+
+JsonObjectReader::JsonObjectReader(const JsonDocument& document,
+                                   const json::value& value,
+                                   std::string path,
+                                   std::vector<ConfigFault>& faults)
+    : document_(document), path_(std::move(path)), faults_(faults) {
+  object_ = value.if_object();
+  if (!object_)
+    Fault("", "expected an object");
+}
+
+std::string JsonObjectReader::PathOf(std::string_view key) const {
+  if (key.empty())
+    return path_;
+  return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+}
+
+void JsonObjectReader::Fault(std::string_view key, std::string expected) {
+  const std::string path = PathOf(key);
+  faults_.push_back(ConfigFault{.file = document_.file(),
+                                .line = document_.LineOf(path),
+                                .path = path,
+                                .expected = std::move(expected)});
+}
+
+const json::value* JsonObjectReader::Find(std::string_view key) {
+  known_.emplace(key);
+  return object_ ? object_->if_contains(key) : nullptr;
+}
+
+bool JsonObjectReader::Has(std::string_view key) {
+  return Find(key) != nullptr;
+}
+
+std::string JsonObjectReader::RequiredString(std::string_view key) {
+  const json::value* value = Find(key);
+  if (value && value->is_string() && !value->get_string().empty())
+    return std::string(value->get_string());
+  if (object_)
+    Fault(key, "expected a non-empty string");
+  return "";
+}
+
+std::string JsonObjectReader::OptionalString(std::string_view key,
+                                             std::string fallback) {
+  return Find(key) ? RequiredString(key) : fallback;
+}
+
+std::uint64_t JsonObjectReader::Integer(std::string_view key,
+                                        const json::value& value,
+                                        std::uint64_t least,
+                                        std::uint64_t most) {
+  if (value.is_int64() && value.get_int64() >= 0) {
+    const auto number = static_cast<std::uint64_t>(value.get_int64());
+    if (number >= least && number <= most)
+      return number;
+  }
+  Fault(key, "expected an integer from " + std::to_string(least) + " to " +
+                 std::to_string(most));
+  return least;
+}
+
+std::uint64_t JsonObjectReader::RequiredInteger(std::string_view key,
+                                                std::uint64_t least,
+                                                std::uint64_t most) {
+  const json::value* value = Find(key);
+  if (value)
+    return Integer(key, *value, least, most);
+  if (object_)
+    Fault(key, "expected an integer, but the key is missing");
+  return least;
+}
+
+std::uint64_t JsonObjectReader::OptionalInteger(std::string_view key,
+                                                std::uint64_t fallback,
+                                                std::uint64_t least,
+                                                std::uint64_t most) {
+  const json::value* value = Find(key);
+  return value ? Integer(key, *value, least, most) : fallback;
+}
+
+bool JsonObjectReader::OptionalBool(std::string_view key, bool fallback) {
+  const json::value* value = Find(key);
+  if (!value)
+    return fallback;
+  if (!value->is_bool()) {
+    Fault(key, "expected true or false");
+    return fallback;
+  }
+  return value->get_bool();
+}
+
+std::vector<std::string> JsonObjectReader::Strings(std::string_view key,
+                                                   const json::value& value) {
+  std::vector<std::string> strings;
+  const json::array* array = value.if_array();
+  if (!array) {
+    Fault(key, "expected a list of strings");
+    return strings;
+  }
+  for (const json::value& item : *array) {
+    if (!item.is_string()) {
+      Fault(std::string(key) + "[" + std::to_string(strings.size()) + "]",
+            "expected a string");
+      return strings;
+    }
+    strings.emplace_back(item.get_string());
+  }
+  return strings;
+}
+
+std::vector<std::string> JsonObjectReader::RequiredStrings(
+    std::string_view key) {
+  const json::value* value = Find(key);
+  std::vector<std::string> strings;
+  if (value)
+    strings = Strings(key, *value);
+  if (strings.empty() && object_)
+    Fault(key, "expected a list of at least one string");
+  return strings;
+}
+
+std::vector<std::string> JsonObjectReader::OptionalStrings(
+    std::string_view key) {
+  const json::value* value = Find(key);
+  return value ? Strings(key, *value) : std::vector<std::string>();
+}
+
+void JsonObjectReader::Object(std::string_view key, const Visitor& visit) {
+  const json::value* value = Find(key);
+  if (!value) {
+    if (object_)
+      Fault(key, "expected an object, but the key is missing");
+    return;
+  }
+  JsonObjectReader reader(document_, *value, PathOf(key), faults_);
+  visit(reader);
+  reader.Finish();
+}
+
+void JsonObjectReader::ForEachObject(std::string_view key,
+                                     const Visitor& visit) {
+  const json::value* value = Find(key);
+  if (!value)
+    return;
+  const json::array* array = value->if_array();
+  if (!array) {
+    Fault(key, "expected a list of objects");
+    return;
+  }
+  for (std::size_t i = 0; i < array->size(); ++i) {
+    JsonObjectReader reader(document_, (*array)[i],
+                            PathOf(key) + "[" + std::to_string(i) + "]",
+                            faults_);
+    visit(reader);
+    reader.Finish();
+  }
+}
+
+void JsonObjectReader::Finish() {
+  if (!object_)
+    return;
+  for (const auto& member : *object_) {
+    const std::string_view key = member.key();
+    if (!known_.contains(key))
+      Fault(key, "unknown key");
+  }
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibConfig/json_reader.h
@@ -0,0 +1,69 @@
+// Reads typed fields from a JSON document and collects every fault with its
+// path. Keys that were never asked for are faults too.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibConfig/json_document.h"
+
+namespace mustardbank {
+
+// One object of the document. Its destructor-free end is `Finish`, which
+// reports unknown keys.
+class JsonObjectReader {
+ public:
+  JsonObjectReader(const JsonDocument& document,
+                   const boost::json::value& value,
+                   std::string path,
+                   std::vector<ConfigFault>& faults);
+
+  bool Has(std::string_view key);
+  std::string RequiredString(std::string_view key);
+  std::string OptionalString(std::string_view key, std::string fallback);
+  std::uint64_t RequiredInteger(
+      std::string_view key,
+      std::uint64_t least,
+      std::uint64_t most = std::numeric_limits<std::int64_t>::max());
+  std::uint64_t OptionalInteger(
+      std::string_view key,
+      std::uint64_t fallback,
+      std::uint64_t least,
+      std::uint64_t most = std::numeric_limits<std::int64_t>::max());
+  bool OptionalBool(std::string_view key, bool fallback);
+  std::vector<std::string> RequiredStrings(std::string_view key);
+  std::vector<std::string> OptionalStrings(std::string_view key);
+
+  using Visitor = std::function<void(JsonObjectReader&)>;
+  void Object(std::string_view key, const Visitor& visit);
+  void ForEachObject(std::string_view key, const Visitor& visit);
+
+  // Records a fault at `key`, or at the object itself if `key` is empty.
+  void Fault(std::string_view key, std::string expected);
+  void Finish();
+
+  const std::string& path() const { return path_; }
+
+ private:
+  const boost::json::value* Find(std::string_view key);
+  std::string PathOf(std::string_view key) const;
+  std::uint64_t Integer(std::string_view key,
+                        const boost::json::value& value,
+                        std::uint64_t least,
+                        std::uint64_t most);
+  std::vector<std::string> Strings(std::string_view key,
+                                   const boost::json::value& value);
+
+  const JsonDocument& document_;
+  const boost::json::object* object_ = nullptr;
+  std::string path_;
+  std::vector<ConfigFault>& faults_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibCore/boot_clock.h
@@ -0,0 +1,40 @@
+// The clock of every decision: CLOCK_BOOTTIME, which also counts the time
+// that the machine was suspended.
+#pragma once
+
+#include <chrono>
+
+namespace mustardbank {
+
+using Duration = std::chrono::nanoseconds;
+
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now();
+};
+
+using Time = BootClock::time_point;
+
+inline double ToMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+inline Duration FromMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+// Readings taken together, to tell a paused process from a running one.
+struct ClockReading {
+  Time boot;
+  std::chrono::milliseconds wall{0};  // since the Unix epoch
+
+  static ClockReading Now();
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibCore/job_id.h
@@ -0,0 +1,39 @@
+// Job ids. An id names the home of its job: the peer listener and the
+// incarnation of the entry VM that issued it, and a sequence number there.
+// Its text ends with a keyed digest that also covers the team, so that forged
+// ids and the ids of other teams are told apart without any state.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibCore/endpoint.h"
+
+namespace mustardbank {
+
+struct JobId {
+  Endpoint home;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const JobId&) const = default;
+};
+
+// Turns job ids into text and back. All entry VMs share one key.
+class JobIdCodec {
+ public:
+  explicit JobIdCodec(std::string key) : key_(std::move(key)) {}
+
+  std::string Encode(const JobId& id, std::string_view team) const;
+
+  // Yields nothing for malformed and forged ids and for ids of other teams.
+  std::optional<JobId> Decode(std::string_view text,
+                              std::string_view team) const;
+
+ private:
+  std::string key_;
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/events.h
@@ -0,0 +1,203 @@
+// What the decision core is told (events) and what it wants done (actions).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibConfig/configuration.h"
+#include "LibConfig/estate.h"
+#include "LibCore/boot_clock.h"
+#include "LibCore/endpoint.h"
+#include "LibCore/enum_names.h"
+#include "LibWire/peer.pb.h"
+
+namespace mustardbank {
+
+// Whether a request that was not completed may have run.
+enum class Ran { kNotRun, kMayHaveRun };
+inline constexpr EnumNames<Ran, 2> kRanNames{{"not run", "may have run"}};
+
+// Who waits for a reply: a caller's connection of this VM, or a peer that
+// forwarded a caller's request.
+struct Requester {
+  std::uint64_t request = 0;
+  std::optional<Endpoint> peer;
+};
+
+// An HTTP status with a JSON body.
+struct Reply {
+  unsigned status = 200;
+  std::string body;
+  std::uint32_t retry_after_ms = 0;  // 0: no time to come back
+};
+
+// Names one attempt of one task, and is echoed by the backend server.
+struct AttemptId {
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+enum class AttemptResult {
+  kSucceeded,
+  kFailed,          // the backend server says that the task ended in failure
+  kRefusedBusy,     // not run: no free slot
+  kRefusedLeaving,  // not run: the worker is leaving
+  kNotSent,         // not run: no connection, or nothing written
+  kStale,           // not run: dropped before sending, after a pause
+  kUnknown,         // connection lost or timed out: may have run
+};
+inline constexpr EnumNames<AttemptResult, 7> kAttemptResultNames{
+    {"succeeded", "failed", "refused_busy", "refused_leaving", "not_sent",
+     "stale", "unknown"}};
+
+// Events.
+
+struct IssueIds {
+  Requester from;
+  std::string token_sha256;
+  std::uint32_t count = 1;
+};
+
+// A job submitted by a caller under an id or under an idempotency key.
+struct SubmitJob {
+  Requester from;
+  std::string token_sha256;
+  std::string job_id;
+  std::string key;
+  wire::JobSpec job;
+  Duration wait{0};
+};
+
+struct QueryJob {
+  Requester from;
+  std::string token_sha256;
+  std::string job_id;
+  Duration wait{0};
+};
+
+struct CancelJob {
+  Requester from;
+  std::string token_sha256;
+  std::string job_id;
+};
+
+struct AttemptEnded {
+  AttemptId sent;
+  AttemptId answered;  // as echoed by the backend server
+  AttemptResult result = AttemptResult::kUnknown;
+  std::string worker;
+  std::string body;  // JSON text
+  Duration run_time{0};
+};
+
+struct PeerMessage {
+  wire::Envelope envelope;
+};
+
+// The outcome of delivering a message to a peer.
+struct PeerContact {
+  Endpoint peer;
+  bool reached = false;
+  std::uint64_t incarnation = 0;        // of the process that answered
+  std::uint64_t known_incarnation = 0;  // newest it knows of this VM
+  std::uint64_t forwarded_request = 0;  // 0: the message was no forward
+};
+
+struct ConfigurationRead {
+  Configuration configuration;
+  std::string text;
+};
+
+struct EstateRead {
+  Estate changes;  // VMs changed since the version read before
+};
+
+// Entry VMs registered on the platform.
+struct RegistrationsRead {
+  std::vector<wire::VmIdentity> vms;
+  std::vector<wire::Succession> successions;
+};
+
+struct KeyBinding {
+  std::string team;
+  std::string key;
+  std::string job_id;  // proposed in the action, bound in the event
+};
+
+struct KeysBound {
+  std::uint64_t batch = 0;
+  bool succeeded = false;
+  std::vector<KeyBinding> bindings;
+};
+
+struct DrainRequested {};
+
+using Event = std::variant<IssueIds,
+                           SubmitJob,
+                           QueryJob,
+                           CancelJob,
+                           AttemptEnded,
+                           PeerMessage,
+                           PeerContact,
+                           ConfigurationRead,
+                           EstateRead,
+                           RegistrationsRead,
+                           KeysBound,
+                           DrainRequested>;
+
+// Actions.
+
+struct ReplyToCaller {
+  std::uint64_t request = 0;
+  Reply reply;
+};
+
+struct StartTask {
+  AttemptId attempt;
+  std::string worker;
+  Endpoint endpoint;
+  std::string job_id;
+  std::string service;
+  std::string request;
+  std::string payload;
+  Duration timeout{0};
+  Time start_before;  // not to be sent later than this
+};
+
+struct SendToPeer {
+  Endpoint peer;
+  wire::Envelope envelope;
+};
+
+struct BindKeys {
+  std::uint64_t batch = 0;
+  std::vector<KeyBinding> bindings;
+};
+
+// Writes the identity of this VM, and successions, to the platform.
+struct PublishIdentity {
+  wire::VmIdentity identity;
+};
+
+struct PublishSuccession {
+  wire::Succession succession;
+};
+
+// All jobs have ended and the record is handed over: the process may stop.
+struct LeaveFinished {};
+
+using Action = std::variant<ReplyToCaller,
+                            StartTask,
+                            SendToPeer,
+                            BindKeys,
+                            PublishIdentity,
+                            PublishSuccession,
+                            LeaveFinished>;
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/key_binder.cc
@@ -0,0 +1,46 @@
+#include "LibDispatch/key_binder.h"
+
+#include <algorithm>
+
+namespace mustardbank {
+
+namespace {
+
+constexpr std::size_t kMaxKeysPerBatch = 200;
+
+}  // namespace
+
+std::optional<BindKeys> KeyBinder::NextBatch() {
+  if (!in_flight_.empty() || unsent_.empty())
+    return std::nullopt;
+  const std::size_t count = std::min(unsent_.size(), kMaxKeysPerBatch);
+  in_flight_.assign(unsent_.begin(), unsent_.begin() + count);
+  unsent_.erase(unsent_.begin(), unsent_.begin() + count);
+  BindKeys batch{.batch = ++batch_};
+  for (const Key& key : in_flight_) {
+    batch.bindings.push_back(KeyBinding{.team = key.first,
+                                        .key = key.second,
+                                        .job_id = pending_[key].proposed_id});
+  }
+  return batch;
+}
+
+std::vector<KeyBinder::Bound> KeyBinder::Settle(const KeysBound& result) {
+  std::vector<Bound> settled;
+  if (result.batch != batch_ || in_flight_.empty())
+    return settled;
+  std::map<Key, std::string> ids;
+  if (result.succeeded) {
+    for (const KeyBinding& binding : result.bindings)
+      ids[{binding.team, binding.key}] = binding.job_id;
+  }
+  for (const Key& key : in_flight_) {
+    auto entry = pending_.extract(key);
+    settled.push_back(
+        Bound{.job_id = ids[key], .jobs = std::move(entry.mapped().jobs)});
+  }
+  in_flight_.clear();
+  return settled;
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/lending_system.cc
@@ -0,0 +1,325 @@
+#include "LibDispatch/lending_system.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace mustardbank {
+
+namespace {
+
+constexpr Duration kBorrowInterval = std::chrono::milliseconds(20);
+constexpr Duration kReturnInterval = std::chrono::milliseconds(50);
+// A lender keeps this many of its free slots, and one in so many more.
+constexpr std::uint32_t kReserveSlots = 1;
+constexpr std::uint32_t kReserveFraction = 4;
+constexpr std::uint32_t kLeastBorrowed = 2;
+// Messages of loans sent longer ago than this have arrived or are lost.
+constexpr Duration kLoanInTransit = std::chrono::seconds(2);
+
+void AddLoan(wire::SlotLoan* loan,
+             const std::string& worker,
+             std::uint32_t slots) {
+  loan->set_worker(worker);
+  loan->set_slots(slots);
+}
+
+}  // namespace
+
+void LendingSystem::UpdateHomes(Time now) {
+  if (!state_.workers.lends_slots())
+    return;
+  for (const Endpoint& peer : state_.membership.TakeRestarted())
+    Reclaim(peer, now);
+  const bool is_absent = state_.is_absent();
+  const std::uint64_t digest = state_.membership.LiveDigest(now, is_absent);
+  if (live_digest_ == digest)
+    return;
+  live_digest_ = digest;
+  for (const auto& [endpoint, peer] : state_.membership.peers()) {
+    if (!state_.membership.IsLive(peer, now) && !peer.leaving)
+      Reclaim(endpoint, now);
+  }
+  LoansByPeer claims;
+  for (WorkerIndex i = 0; i < state_.workers.size(); ++i) {
+    const VmRecord& vm = state_.workers[i].vm;
+    const Endpoint home =
+        state_.membership.HomeOf(vm.name, vm.data_center, now, is_absent);
+    MoveHome(i, home, claims, now);
+  }
+  SendLoans(std::move(claims));
+}
+
+void LendingSystem::MoveHome(WorkerIndex index,
+                             Endpoint home,
+                             LoansByPeer& claims,
+                             Time now) {
+  const bool is_here = home == state_.endpoint() && !state_.is_absent();
+  const Worker& before = state_.workers[index];
+  if (before.home == home && before.is_home_here == is_here)
+    return;
+  std::uint32_t held = before.is_home_here ? before.running : before.borrowed;
+  held = std::max(held, before.running);
+  for (const auto& [peer, loan] : before.lent)
+    lent_to_[peer].erase(index);
+  state_.workers.Update(index, now, [&](Worker& worker) {
+    worker.home = home;
+    worker.is_home_here = is_here;
+    worker.lent.clear();
+    worker.lent_total = 0;
+    worker.borrowed = is_here ? 0 : held;
+  });
+  if (is_here || held == 0) {
+    borrowing_.erase(index);
+    return;
+  }
+  borrowing_.insert(index);
+  if (home == state_.endpoint())
+    return;
+  auto [it, is_new] = claims.try_emplace(home);
+  if (is_new)
+    it->second = state_.NewEnvelope();
+  AddLoan(it->second.mutable_claim()->add_loans(), before.vm.name, held);
+}
+
+std::uint32_t LendingSystem::LentTo(WorkerIndex index, Endpoint peer) const {
+  const auto lent = state_.workers[index].lent.find(peer);
+  return lent == state_.workers[index].lent.end() ? 0 : lent->second.slots;
+}
+
+void LendingSystem::SetLent(WorkerIndex index,
+                            Endpoint peer,
+                            std::uint32_t slots,
+                            Time now) {
+  state_.workers.Update(index, now, [&](Worker& worker) {
+    Loan& loan = worker.lent[peer];
+    worker.lent_total += slots - loan.slots;
+    loan = Loan{.slots = slots, .changed_at = now};
+    if (slots == 0)
+      worker.lent.erase(peer);
+  });
+  if (slots == 0)
+    lent_to_[peer].erase(index);
+  else
+    lent_to_[peer].insert(index);
+}
+
+void LendingSystem::Reclaim(Endpoint peer, Time now) {
+  const auto node = lent_to_.extract(peer);
+  if (node.empty())
+    return;
+  for (const WorkerIndex index : node.mapped())
+    SetLent(index, peer, 0, now);
+}
+
+void LendingSystem::Reconcile(const wire::VmIdentity& sender,
+                              const wire::Heartbeat& heartbeat,
+                              Time now) {
+  const Endpoint borrower = Membership::EndpointOf(sender);
+  const auto lent = lent_to_.find(borrower);
+  if (lent == lent_to_.end())
+    return;
+  std::map<std::string_view, std::uint32_t> held;
+  for (const wire::SlotLoan& loan : heartbeat.held())
+    held[loan.worker()] = loan.slots();
+  const std::set<WorkerIndex> indexes = lent->second;
+  for (const WorkerIndex index : indexes) {
+    const Worker& worker = state_.workers[index];
+    const Loan& loan = worker.lent.at(borrower);
+    const auto it = held.find(worker.vm.name);
+    const std::uint32_t slots = it == held.end() ? 0 : it->second;
+    if (slots != loan.slots && now - loan.changed_at > kLoanInTransit)
+      SetLent(index, borrower, slots, now);
+  }
+}
+
+void LendingSystem::AddHeldSlots(Endpoint peer,
+                                 wire::Heartbeat& heartbeat) const {
+  for (const WorkerIndex index : borrowing_) {
+    const Worker& worker = state_.workers[index];
+    if (worker.home == peer && worker.borrowed > 0)
+      AddLoan(heartbeat.add_held(), worker.vm.name, worker.borrowed);
+  }
+}
+
+void LendingSystem::SendLoans(LoansByPeer&& messages) {
+  for (auto& [peer, envelope] : messages) {
+    if (peer == state_.endpoint())
+      continue;
+    state_.counters.Add(Counter::kWastedLending);
+    state_.Send(peer, std::move(envelope));
+  }
+}
+
+void LendingSystem::Tick(Time now) {
+  if (!state_.workers.lends_slots())
+    return;
+  for (PlacementClass& entry : state_.classes) {
+    if (entry.queue.size() > 0 && now >= entry.next_borrow &&
+        state_.workers.FreeInPools(entry.mask) == 0) {
+      Borrow(entry, now);
+    }
+  }
+  if (now >= next_return_) {
+    next_return_ = now + kReturnInterval;
+    ReturnIdle(now);
+  }
+}
+
+void LendingSystem::Borrow(PlacementClass& entry, Time now) {
+  std::vector<std::pair<std::uint32_t, Peer*>> lenders;
+  for (auto& [endpoint, peer] : state_.membership.peers()) {
+    if (!state_.membership.IsLive(peer, now))
+      continue;
+    std::uint32_t free = 0;
+    for (const std::string& place : entry.places) {
+      const auto it = peer.free_slots.find(place);
+      free += it == peer.free_slots.end() ? 0 : it->second;
+    }
+    if (free > 0)
+      lenders.emplace_back(free, &peer);
+  }
+  std::ranges::sort(
+      lenders, [](const auto& a, const auto& b) { return a.first > b.first; });
+  auto needed = static_cast<std::uint32_t>(
+      std::max<std::size_t>(entry.queue.size(), kLeastBorrowed));
+  for (const auto& [free, peer] : lenders) {
+    if (needed == 0)
+      break;
+    const std::uint32_t asked = std::min(needed, free);
+    wire::Envelope envelope = state_.NewEnvelope();
+    wire::BorrowSlots* borrow = envelope.mutable_borrow();
+    borrow->set_slots(asked);
+    borrow->set_accelerator(entry.accelerator);
+    for (const std::string& place : entry.places)
+      borrow->add_data_centers(place);
+    state_.counters.Add(Counter::kWastedLending);
+    state_.Send(Membership::EndpointOf(peer->identity), std::move(envelope));
+    // Until its next heartbeat the peer counts as having lent its free slots.
+    peer->free_slots.clear();
+    needed -= asked;
+  }
+  entry.next_borrow = now + kBorrowInterval;
+}
+
+void LendingSystem::ReturnIdle(Time now) {
+  const Duration idle =
+      std::chrono::milliseconds(state_.options.timing.loan_idle_ms);
+  LoansByPeer returns;
+  for (auto it = borrowing_.begin(); it != borrowing_.end();) {
+    const WorkerIndex index = *it;
+    const Worker& worker = state_.workers[index];
+    const bool is_idle = worker.borrowed > worker.running &&
+                         now - worker.borrowed_idle_since >= idle;
+    if (is_idle) {
+      const std::uint32_t surplus = worker.borrowed - worker.running;
+      auto [entry, is_new] = returns.try_emplace(worker.home);
+      if (is_new)
+        entry->second = state_.NewEnvelope();
+      AddLoan(entry->second.mutable_give_back()->add_loans(), worker.vm.name,
+              surplus);
+      state_.workers.Update(index, now, [surplus](Worker& changed) {
+        changed.borrowed -= surplus;
+      });
+    }
+    it = state_.workers[index].borrowed == 0 ? borrowing_.erase(it)
+                                             : std::next(it);
+  }
+  SendLoans(std::move(returns));
+}
+
+bool LendingSystem::HasQueuedTasksFor(std::uint32_t pool) const {
+  return std::ranges::any_of(state_.classes, [pool](const auto& entry) {
+    return entry.queue.size() > 0 && WorkerTable::Contains(entry.mask, pool);
+  });
+}
+
+void LendingSystem::Handle(const wire::VmIdentity& sender,
+                           const wire::BorrowSlots& message,
+                           Time now) {
+  const Endpoint borrower = Membership::EndpointOf(sender);
+  wire::Envelope envelope = state_.NewEnvelope();
+  wire::GrantSlots* grant = envelope.mutable_grant();
+  std::uint32_t wanted = message.slots();
+  const std::vector<std::string> places(message.data_centers().begin(),
+                                        message.data_centers().end());
+  const PoolMask mask = state_.workers.MaskOf(places, message.accelerator());
+  for (std::uint32_t pool = 0; pool < state_.workers.pool_count(); ++pool) {
+    if (!WorkerTable::Contains(mask, pool) || HasQueuedTasksFor(pool))
+      continue;
+    const std::uint32_t free = state_.workers.FreeInPools(PoolMask{1} << pool);
+    const std::uint32_t kept = kReserveSlots + free / kReserveFraction;
+    std::uint32_t lendable = std::min(wanted, free - std::min(free, kept));
+    // Lending changes the index that is walked: take a copy.
+    const auto free_workers = state_.workers.FreeWorkers(pool);
+    for (const WorkerTable::FreeEntry& entry : free_workers) {
+      if (lendable == 0)
+        break;
+      const Worker& worker = state_.workers[entry.worker];
+      if (!worker.is_home_here || worker.on_trial)
+        continue;
+      const std::uint32_t slots =
+          std::min(lendable, state_.workers.FreeSlots(entry.worker, now));
+      SetLent(entry.worker, borrower, slots + LentTo(entry.worker, borrower),
+              now);
+      AddLoan(grant->add_loans(), worker.vm.name, slots);
+      lendable -= slots;
+      wanted -= slots;
+    }
+  }
+  state_.counters.Add(Counter::kWastedLending);
+  state_.Send(borrower, std::move(envelope));
+}
+
+void LendingSystem::Handle(const wire::VmIdentity& sender,
+                           const wire::GrantSlots& message,
+                           Time now) {
+  const Endpoint lender = Membership::EndpointOf(sender);
+  LoansByPeer refused;
+  for (const wire::SlotLoan& loan : message.loans()) {
+    const std::int64_t index = state_.workers.Find(loan.worker());
+    if (index < 0 || state_.workers[index].is_home_here ||
+        state_.workers[index].home != lender) {
+      auto [it, is_new] = refused.try_emplace(lender);
+      if (is_new)
+        it->second = state_.NewEnvelope();
+      *it->second.mutable_give_back()->add_loans() = loan;
+      continue;
+    }
+    state_.workers.Update(index, now, [&](Worker& worker) {
+      worker.borrowed += loan.slots();
+      worker.borrowed_idle_since = now;
+    });
+    borrowing_.insert(static_cast<WorkerIndex>(index));
+  }
+  SendLoans(std::move(refused));
+}
+
+void LendingSystem::Handle(const wire::VmIdentity& sender,
+                           const wire::ReturnSlots& message,
+                           Time now) {
+  const Endpoint borrower = Membership::EndpointOf(sender);
+  for (const wire::SlotLoan& loan : message.loans()) {
+    const std::int64_t index = state_.workers.Find(loan.worker());
+    if (index < 0)
+      continue;
+    const auto worker = static_cast<WorkerIndex>(index);
+    const std::uint32_t lent = LentTo(worker, borrower);
+    if (lent > 0)
+      SetLent(worker, borrower, lent - std::min(lent, loan.slots()), now);
+  }
+}
+
+void LendingSystem::Handle(const wire::VmIdentity& sender,
+                           const wire::ClaimSlots& message,
+                           Time now) {
+  const Endpoint borrower = Membership::EndpointOf(sender);
+  // The sender may have seen the change of homes first.
+  UpdateHomes(now);
+  for (const wire::SlotLoan& loan : message.loans()) {
+    const std::int64_t index = state_.workers.Find(loan.worker());
+    if (index >= 0 && state_.workers[index].is_home_here)
+      SetLent(static_cast<WorkerIndex>(index), borrower, loan.slots(), now);
+  }
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/membership.cc
@@ -0,0 +1,202 @@
+#include "LibDispatch/membership.h"
+
+#include <utility>
+
+#include "LibCore/digest.h"
+
+namespace mustardbank {
+
+Membership::Membership(wire::VmIdentity self,
+                       Duration silence,
+                       Duration certainty)
+    : self_(std::move(self)), silence_(silence), certainty_(certainty) {}
+
+Endpoint Membership::EndpointOf(const wire::VmIdentity& identity) {
+  return Endpoint{.ip = identity.ip(),
+                  .port = static_cast<std::uint16_t>(identity.port())};
+}
+
+void Membership::ReplaceIncarnation(std::uint64_t incarnation, Time now) {
+  self_.set_incarnation(incarnation);
+  self_since_ = now;
+}
+
+void Membership::AddSeed(Endpoint endpoint) {
+  if (endpoint == EndpointOf(self_))
+    return;
+  Peer& peer = peers_[endpoint];
+  peer.identity.set_ip(endpoint.ip);
+  peer.identity.set_port(endpoint.port);
+}
+
+void Membership::SetIncarnation(Peer& peer,
+                                const wire::VmIdentity& identity,
+                                Time now) {
+  if (identity.incarnation() != peer.identity.incarnation()) {
+    if (peer.identity.incarnation() != 0)
+      restarted_.push_back(EndpointOf(identity));
+    peer.incarnation_since = now;
+    peer.leaving = false;
+    peer.free_slots.clear();
+    peer.demand.clear();
+  }
+  peer.identity = identity;
+}
+
+void Membership::DidReadRegistration(const wire::VmIdentity& identity,
+                                     Time now) {
+  const Endpoint endpoint = EndpointOf(identity);
+  if (endpoint == EndpointOf(self_))
+    return;
+  Peer& peer = peers_[endpoint];
+  if (identity.incarnation() > peer.identity.incarnation())
+    SetIncarnation(peer, identity, now);
+}
+
+Peer* Membership::DidHear(const wire::VmIdentity& identity, Time now) {
+  const Endpoint endpoint = EndpointOf(identity);
+  if (endpoint == EndpointOf(self_))
+    return nullptr;
+  Peer& peer = peers_[endpoint];
+  if (identity.incarnation() < peer.identity.incarnation())
+    return nullptr;
+  SetIncarnation(peer, identity, now);
+  peer.last_heard = now;
+  peer.was_heard = true;
+  dropped_.erase(endpoint);
+  return &peer;
+}
+
+void Membership::DidReach(Endpoint endpoint,
+                          std::uint64_t incarnation,
+                          Time now) {
+  Peer* peer = Find(endpoint);
+  if (!peer || incarnation < peer->identity.incarnation())
+    return;
+  wire::VmIdentity identity = peer->identity;
+  identity.set_incarnation(incarnation);
+  SetIncarnation(*peer, identity, now);
+  dropped_.erase(endpoint);
+}
+
+void Membership::DidReadEstate(const Estate& estate) {
+  std::set<Endpoint> present;
+  for (const auto& [name, vm] : estate.vms) {
+    if (vm.role == VmRole::kEntry && vm.state != VmState::kGone)
+      present.insert(vm.endpoint);
+  }
+  for (const Endpoint& endpoint : listed_) {
+    if (!present.contains(endpoint))
+      dropped_.insert(endpoint);
+  }
+  for (const Endpoint& endpoint : present)
+    dropped_.erase(endpoint);
+  listed_.merge(present);
+}
+
+void Membership::AddSuccession(const wire::Succession& succession) {
+  successors_[succession.incarnation()] =
+      Endpoint{.ip = succession.ip(),
+               .port = static_cast<std::uint16_t>(succession.port())};
+}
+
+std::optional<Endpoint> Membership::SuccessorOf(
+    std::uint64_t incarnation) const {
+  const auto it = successors_.find(incarnation);
+  if (it == successors_.end())
+    return std::nullopt;
+  return it->second;
+}
+
+std::vector<wire::Succession> Membership::successions() const {
+  std::vector<wire::Succession> list;
+  for (const auto& [incarnation, endpoint] : successors_) {
+    wire::Succession& succession = list.emplace_back();
+    succession.set_incarnation(incarnation);
+    succession.set_ip(endpoint.ip);
+    succession.set_port(endpoint.port);
+  }
+  return list;
+}
+
+bool Membership::IsLive(const Peer& peer, Time now) const {
+  return peer.was_heard && !peer.leaving && now - peer.last_heard < silence_;
+}
+
+HomeFate Membership::FateOf(Endpoint endpoint,
+                            std::uint64_t incarnation,
+                            Time now) const {
+  if (successors_.contains(incarnation))
+    return HomeFate::kSucceeded;
+  const auto it = peers_.find(endpoint);
+  const bool is_self = endpoint == EndpointOf(self_);
+  const bool is_replaced =
+      is_self ? self_.incarnation() != incarnation
+              : it != peers_.end() &&
+                    it->second.identity.incarnation() > incarnation;
+  if (is_replaced) {
+    // News of a succession travels with heartbeats: wait for one to arrive.
+    const Time since = is_self ? self_since_ : it->second.incarnation_since;
+    const bool is_fresh = now - since < certainty_;
+    return is_fresh ? HomeFate::kUncertain : HomeFate::kGone;
+  }
+  if (dropped_.contains(endpoint))
+    return HomeFate::kGone;
+  return HomeFate::kReachable;
+}
+
+Endpoint Membership::HomeOf(std::string_view worker,
+                            std::string_view data_center,
+                            Time now,
+                            bool is_leaving) const {
+  Endpoint best = EndpointOf(self_);
+  std::uint64_t best_rank = 0;
+  bool best_is_near = false;
+  bool found = false;
+  const auto consider = [&](const wire::VmIdentity& identity) {
+    const bool is_near = identity.data_center() == data_center;
+    const std::uint64_t rank = FastDigest(worker, FastDigest(identity.name()));
+    const bool is_better = !found || (is_near && !best_is_near) ||
+                           (is_near == best_is_near && rank > best_rank);
+    if (!is_better)
+      return;
+    found = true;
+    best = EndpointOf(identity);
+    best_rank = rank;
+    best_is_near = is_near;
+  };
+  if (!is_leaving)
+    consider(self_);
+  for (const auto& [endpoint, peer] : peers_) {
+    if (IsLive(peer, now))
+      consider(peer.identity);
+  }
+  return best;
+}
+
+std::uint64_t Membership::LiveDigest(Time now, bool is_leaving) const {
+  std::uint64_t digest = is_leaving ? 1 : 0;
+  for (const auto& [endpoint, peer] : peers_) {
+    if (IsLive(peer, now))
+      digest = FastDigest(peer.identity.name(), digest);
+  }
+  return digest;
+}
+
+std::vector<Endpoint> Membership::TakeRestarted() {
+  return std::exchange(restarted_, {});
+}
+
+std::size_t Membership::LiveCount(Time now) const {
+  std::size_t count = 1;
+  for (const auto& [endpoint, peer] : peers_)
+    count += IsLive(peer, now) ? 1 : 0;
+  return count;
+}
+
+Peer* Membership::Find(Endpoint endpoint) {
+  const auto it = peers_.find(endpoint);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/peer_system.h
@@ -0,0 +1,210 @@
+// Heartbeats, and the spread of configuration and estate from the platform
+// and from peer to peer.
+#pragma once
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <utility>
+
+#include "LibDispatch/dispatch_state.h"
+#include "LibDispatch/lending_system.h"
+#include "LibDispatch/safeguards.h"
+
+namespace mustardbank {
+
+template <Safeguards Guards>
+class PeerSystem {
+ public:
+  PeerSystem(DispatchState& state, LendingSystem& lending)
+      : state_(state), lending_(lending) {}
+
+  void Tick(Time now) {
+    if (now < next_heartbeat_)
+      return;
+    next_heartbeat_ = now + HeartbeatInterval();
+    SendHeartbeats(now);
+  }
+
+  void SendHeartbeats(Time now) {
+    std::erase_if(state_.leaving_workers,
+                  [now](const auto& entry) { return entry.second <= now; });
+    wire::Envelope common = state_.NewEnvelope();
+    FillHeartbeat(*common.mutable_heartbeat());
+    for (const auto& [endpoint, peer] : state_.membership.peers()) {
+      wire::Envelope envelope = common;
+      lending_.AddHeldSlots(endpoint, *envelope.mutable_heartbeat());
+      state_.counters.Add(Counter::kHeartbeatsSent);
+      state_.Send(endpoint, std::move(envelope));
+    }
+  }
+
+  void Handle(const wire::VmIdentity& sender,
+              const wire::Heartbeat& heartbeat,
+              Peer& peer,
+              Time now) {
+    peer.leaving = heartbeat.leaving();
+    peer.configuration_version = heartbeat.configuration_version();
+    peer.estate_version = heartbeat.estate_version();
+    peer.free_slots.clear();
+    for (const wire::FreeSlots& free : heartbeat.free())
+      peer.free_slots[free.data_center()] = free.slots();
+    peer.demand.clear();
+    for (const wire::TeamDemand& demand : heartbeat.demand())
+      peer.demand[demand.team()] = demand.tasks();
+    for (const wire::Succession& succession : heartbeat.successions())
+      state_.membership.AddSuccession(succession);
+    for (const std::string& worker : heartbeat.leaving_workers())
+      BarLeavingWorker(worker, now);
+    lending_.Reconcile(sender, heartbeat, now);
+    AskForSnapshot(peer, now);
+  }
+
+  void Handle(const wire::VmIdentity& sender,
+              const wire::SnapshotRequest& /*request*/) {
+    wire::Envelope envelope = state_.NewEnvelope();
+    wire::Snapshot* snapshot = envelope.mutable_snapshot();
+    snapshot->set_configuration(state_.configuration_text);
+    snapshot->set_estate_version(state_.estate.version);
+    if (state_.estate.version > 0)
+      snapshot->set_estate(state_.estate.ToJson());
+    state_.Send(Membership::EndpointOf(sender), std::move(envelope));
+  }
+
+  void Handle(wire::Snapshot& snapshot, Time now) {
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          if (!snapshot.configuration().empty()) {
+            BOOST_LEAF_AUTO(configuration,
+                            Configuration::Parse(snapshot.configuration(),
+                                                 "snapshot of a peer"));
+            Adopt(std::move(configuration), snapshot.configuration());
+          }
+          if (snapshot.estate_version() > state_.estate.version) {
+            BOOST_LEAF_AUTO(estate, Estate::Parse(snapshot.estate()));
+            MergeEstate(std::move(estate), now);
+          }
+          return {};
+        },
+        // A snapshot that can't be read is as good as none.
+        [] {});
+  }
+
+  void Handle(ConfigurationRead& event) {
+    Adopt(std::move(event.configuration), std::move(event.text));
+  }
+
+  void Handle(EstateRead& event, Time now) {
+    MergeEstate(std::move(event.changes), now);
+  }
+
+  void Handle(RegistrationsRead& event, Time now) {
+    for (const wire::VmIdentity& identity : event.vms) {
+      const bool is_older_self =
+          Membership::EndpointOf(identity) == state_.endpoint() &&
+          identity.incarnation() > state_.incarnation();
+      if (is_older_self)
+        state_.AbandonIncarnation(identity.incarnation() + 1, now);
+      state_.membership.DidReadRegistration(identity, now);
+    }
+    for (const wire::Succession& succession : event.successions)
+      state_.membership.AddSuccession(succession);
+  }
+
+  // Puts a configuration in force unless it is older than the present one.
+  void Adopt(Configuration configuration, std::string text) {
+    if (!Guards::Supersedes(configuration.version,
+                            state_.configuration.version)) {
+      return;
+    }
+    state_.configuration = std::move(configuration);
+    state_.configuration_text = std::move(text);
+    state_.team_by_token.clear();
+    for (const auto& [name, team] : state_.configuration.teams) {
+      for (const std::string& token : team.token_sha256)
+        state_.team_by_token.emplace(token, name);
+    }
+    state_.counters.Add(Counter::kConfigurationsAdopted);
+  }
+
+ private:
+  static constexpr Duration kIntervalPerPeer = std::chrono::milliseconds(12);
+  static constexpr Duration kSnapshotInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kLeavingHint = std::chrono::seconds(30);
+  // Estates this many versions behind a peer's are fetched from it. The
+  // platform is asked every second, so that small gaps close by themselves.
+  static constexpr std::uint64_t kEstateLag = 1;
+
+  // Grows with the number of peers, so that the bytes sent stay bounded.
+  Duration HeartbeatInterval() const {
+    return std::max<Duration>(
+        std::chrono::milliseconds(state_.options.timing.heartbeat_ms),
+        kIntervalPerPeer * state_.membership.peers().size());
+  }
+
+  void FillHeartbeat(wire::Heartbeat& heartbeat) const {
+    heartbeat.set_configuration_version(state_.configuration.version);
+    heartbeat.set_estate_version(state_.estate.version);
+    heartbeat.set_leaving(state_.is_leaving());
+    for (std::uint32_t pool = 0; pool < state_.workers.pool_count(); ++pool) {
+      const std::uint32_t slots =
+          state_.workers.FreeInPools(PoolMask{1} << pool);
+      if (slots == 0 || state_.is_absent())
+        continue;
+      wire::FreeSlots* free = heartbeat.add_free();
+      free->set_data_center(state_.workers.DataCenterOf(pool));
+      free->set_slots(slots);
+    }
+    for (const Team& team : state_.teams.teams()) {
+      if (team.running + team.queued == 0)
+        continue;
+      wire::TeamDemand* demand = heartbeat.add_demand();
+      demand->set_team(team.name);
+      demand->set_tasks(team.running + team.queued);
+    }
+    for (const wire::Succession& succession : state_.membership.successions())
+      *heartbeat.add_successions() = succession;
+    for (const auto& [name, until] : state_.leaving_workers)
+      heartbeat.add_leaving_workers(name);
+  }
+
+  void BarLeavingWorker(const std::string& name, Time now) {
+    const std::int64_t index = state_.workers.Find(name);
+    if (index < 0 || state_.workers[index].barred_until > now)
+      return;
+    state_.workers.Update(index, now, [now](Worker& worker) {
+      worker.barred_until = now + kLeavingHint;
+    });
+  }
+
+  void AskForSnapshot(const Peer& peer, Time now) {
+    const bool is_ahead =
+        peer.configuration_version > state_.configuration.version ||
+        peer.estate_version > state_.estate.version + kEstateLag ||
+        (peer.estate_version > 0 && state_.estate.version == 0);
+    if (!is_ahead || now < next_snapshot_)
+      return;
+    next_snapshot_ = now + kSnapshotInterval;
+    wire::Envelope envelope = state_.NewEnvelope();
+    envelope.mutable_snapshot_request();
+    state_.Send(Membership::EndpointOf(peer.identity), std::move(envelope));
+  }
+
+  void MergeEstate(Estate changes, Time now) {
+    if (changes.version < state_.estate.version)
+      return;
+    state_.workers.ApplyEstate(changes, now);
+    state_.estate.Merge(std::move(changes));
+    state_.membership.DidReadEstate(state_.estate);
+    state_.RefreshMasks();
+    lending_.ForgetHomes();
+  }
+
+  DispatchState& state_;
+  LendingSystem& lending_;
+  Time next_heartbeat_;
+  Time next_snapshot_;
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/placement.h
@@ -0,0 +1,83 @@
+// Policies that pick the worker of the next task.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <tuple>
+
+#include "LibDispatch/worker_table.h"
+
+namespace mustardbank {
+
+using RandomEngine = std::mt19937_64;
+
+template <typename T>
+concept PlacementPolicy = requires(const WorkerTable& workers,
+                                   PoolMask mask,
+                                   std::string_view data_center,
+                                   Time now,
+                                   RandomEngine& random) {
+  { T::kLendsSlots } -> std::convertible_to<bool>;
+  {
+    T::Pick(workers, mask, data_center, now, random)
+    } -> std::same_as<std::optional<WorkerIndex>>;
+};
+
+// The fittest free worker by the local view, near ones first.
+struct LeastLoadedPlacement {
+  static constexpr bool kLendsSlots = false;
+
+  static std::optional<WorkerIndex> Pick(const WorkerTable& workers,
+                                         PoolMask mask,
+                                         std::string_view data_center,
+                                         Time /*now*/,
+                                         RandomEngine& /*random*/) {
+    constexpr std::uint32_t kSlow = 1U << 16;
+    std::optional<std::tuple<bool, bool, std::uint32_t, WorkerIndex>> best;
+    for (std::uint32_t pool = 0; pool < workers.pool_count(); ++pool) {
+      if (!WorkerTable::Contains(mask, pool) ||
+          workers.FreeWorkers(pool).empty()) {
+        continue;
+      }
+      const WorkerTable::FreeEntry& entry = *workers.FreeWorkers(pool).begin();
+      const std::tuple candidate(entry.rank >= kSlow,
+                                 workers.DataCenterOf(pool) != data_center,
+                                 entry.rank, entry.worker);
+      if (!best || candidate < *best)
+        best = candidate;
+    }
+    if (!best)
+      return std::nullopt;
+    return std::get<3>(*best);
+  }
+};
+
+// Slots are counted by the home of each worker and lent between entry VMs.
+struct HomeLendingPlacement : LeastLoadedPlacement {
+  static constexpr bool kLendsSlots = true;
+};
+
+// Any worker with a free slot by the local view.
+struct RandomPlacement {
+  static constexpr bool kLendsSlots = false;
+
+  static std::optional<WorkerIndex> Pick(const WorkerTable& workers,
+                                         PoolMask mask,
+                                         std::string_view data_center,
+                                         Time now,
+                                         RandomEngine& random) {
+    constexpr int kTries = 64;
+    for (int i = 0; i < kTries && workers.size() > 0; ++i) {
+      const auto index = static_cast<WorkerIndex>(random() % workers.size());
+      if (WorkerTable::Contains(mask, workers[index].pool) &&
+          workers.FreeSlots(index, now) > 0) {
+        return index;
+      }
+    }
+    return LeastLoadedPlacement::Pick(workers, mask, data_center, now, random);
+  }
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/run_time_model.cc
@@ -0,0 +1,46 @@
+#include "LibDispatch/run_time_model.h"
+
+#include <algorithm>
+
+namespace mustardbank {
+
+namespace {
+
+// Below this many samples the declared run time is mixed in.
+constexpr std::uint32_t kTrustedSamples = 8;
+constexpr double kSmoothing = 0.05;
+
+}  // namespace
+
+std::string RunTimeModel::KeyOf(const std::string& service,
+                                const std::string& request) {
+  return service + '/' + request;
+}
+
+Duration RunTimeModel::Expect(const std::string& service,
+                              const RequestKind& request,
+                              Duration declared) const {
+  const double stated =
+      declared.count() > 0 ? ToMilliseconds(declared) : request.declared_ms;
+  const auto it = estimates_.find(KeyOf(service, request.name));
+  if (it == estimates_.end())
+    return FromMilliseconds(stated);
+  const double trust =
+      std::min(1.0, static_cast<double>(it->second.samples) / kTrustedSamples);
+  return FromMilliseconds(trust * it->second.milliseconds +
+                          (1 - trust) * stated);
+}
+
+void RunTimeModel::DidRun(const std::string& service,
+                          const std::string& request,
+                          Duration run_time) {
+  Estimate& estimate = estimates_[KeyOf(service, request)];
+  ++estimate.samples;
+  const double weight = std::max(kSmoothing, 1.0 / estimate.samples);
+  estimate.milliseconds +=
+      weight * (ToMilliseconds(run_time) - estimate.milliseconds);
+  mean_ += FromMilliseconds(kSmoothing *
+                            (ToMilliseconds(run_time) - ToMilliseconds(mean_)));
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/succession_system.h
@@ -0,0 +1,186 @@
+// The planned stop: ends the jobs, hands the record and kept answers to a
+// successor, and names it to the peers and on the platform.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "LibDispatch/dispatch_state.h"
+#include "LibDispatch/safeguards.h"
+
+namespace mustardbank {
+
+template <Safeguards Guards>
+class SuccessionSystem {
+ public:
+  explicit SuccessionSystem(DispatchState& state) : state_(state) {}
+
+  void Handle(const DrainRequested& /*event*/) {
+    if (!state_.is_leaving())
+      state_.phase = Phase::kDraining;
+  }
+
+  // Returns whether the peers should hear of a change at once.
+  bool Tick(Time now) {
+    switch (state_.phase) {
+      case Phase::kJoining:
+      case Phase::kServing:
+      case Phase::kLeft:
+        return false;
+      case Phase::kDraining:
+        return LeaveIfIdle(now);
+      case Phase::kHandingOver:
+        return ContinueHandOver(now);
+    }
+    return false;
+  }
+
+  void Handle(const wire::VmIdentity& sender,
+              const wire::HandOver& part,
+              Time now) {
+    const std::uint64_t incarnation = part.home().incarnation();
+    auto [it, is_new] = arriving_.try_emplace(
+        incarnation, Arrival{.record = IncarnationRecord(part.home())});
+    Arrival& arrival = it->second;
+    if (arrival.parts.insert(part.part()).second)
+      arrival.record.Absorb(part, now);
+    if (arrival.parts.size() < part.parts() || state_.is_leaving())
+      return;
+    state_.inherited.insert_or_assign(incarnation, std::move(arrival.record));
+    arriving_.erase(it);
+    state_.membership.AddSuccession(
+        SuccessionTo(incarnation, state_.endpoint()));
+    wire::Envelope envelope = state_.NewEnvelope();
+    envelope.mutable_hand_over_accepted()->set_incarnation(incarnation);
+    state_.Send(Membership::EndpointOf(sender), std::move(envelope));
+  }
+
+  void Handle(const wire::VmIdentity& sender,
+              const wire::HandOverAccepted& accepted) {
+    const Endpoint successor = Membership::EndpointOf(sender);
+    if (state_.phase != Phase::kHandingOver || successor != successor_)
+      return;
+    waiting_.erase(accepted.incarnation());
+  }
+
+ private:
+  // A record of which some parts have arrived.
+  struct Arrival {
+    IncarnationRecord record;
+    std::set<std::uint32_t> parts;
+  };
+
+  static constexpr Duration kAcceptTimeout = std::chrono::seconds(2);
+  // Time in which the peers hear who the successor is.
+  static constexpr Duration kAnnounceTime = std::chrono::milliseconds(300);
+  static constexpr int kMaxSuccessors = 3;
+
+  static wire::Succession SuccessionTo(std::uint64_t incarnation,
+                                       Endpoint successor) {
+    wire::Succession succession;
+    succession.set_incarnation(incarnation);
+    succession.set_ip(successor.ip);
+    succession.set_port(successor.port);
+    return succession;
+  }
+
+  std::size_t UnfinishedRequests() const {
+    return state_.jobs.size() + state_.forwards.size() + state_.keys.pending();
+  }
+
+  bool LeaveIfIdle(Time now) {
+    if (!Guards::MayStop(UnfinishedRequests()))
+      return false;
+    state_.phase = Phase::kHandingOver;
+    StartHandOver(now);
+    return true;
+  }
+
+  void StartHandOver(Time now) {
+    successor_ = ChooseSuccessor(now);
+    waiting_.clear();
+    deadline_ = now + kAcceptTimeout;
+    if (!successor_ || tried_.size() > kMaxSuccessors) {
+      successor_.reset();
+      return;
+    }
+    tried_.insert(*successor_);
+    SendRecord(state_.record);
+    for (const auto& [incarnation, record] : state_.inherited)
+      SendRecord(record);
+  }
+
+  std::optional<Endpoint> ChooseSuccessor(Time now) const {
+    std::optional<Endpoint> best;
+    bool best_is_near = false;
+    for (const auto& [endpoint, peer] : state_.membership.peers()) {
+      if (!state_.membership.IsLive(peer, now) || tried_.contains(endpoint))
+        continue;
+      const bool is_near =
+          peer.identity.data_center() == state_.membership.self().data_center();
+      if (!best || (is_near && !best_is_near)) {
+        best = endpoint;
+        best_is_near = is_near;
+      }
+    }
+    return best;
+  }
+
+  void SendRecord(const IncarnationRecord& record) {
+    waiting_.insert(record.home().incarnation());
+    for (wire::HandOver& part : record.ToHandOver()) {
+      wire::Envelope envelope = state_.NewEnvelope();
+      *envelope.mutable_hand_over() = std::move(part);
+      state_.Send(*successor_, std::move(envelope));
+    }
+  }
+
+  bool ContinueHandOver(Time now) {
+    if (announced_at_)
+      return Announce(now);
+    if (!successor_) {
+      Finish();
+      return false;
+    }
+    if (!waiting_.empty()) {
+      if (now >= deadline_)
+        StartHandOver(now);
+      return false;
+    }
+    announced_at_ = now;
+    const auto publish = [&](std::uint64_t incarnation) {
+      const wire::Succession succession =
+          SuccessionTo(incarnation, *successor_);
+      state_.membership.AddSuccession(succession);
+      state_.actions.emplace_back(PublishSuccession{.succession = succession});
+    };
+    publish(state_.incarnation());
+    for (const auto& [incarnation, record] : state_.inherited)
+      publish(incarnation);
+    return true;
+  }
+
+  bool Announce(Time now) {
+    if (now - *announced_at_ >= kAnnounceTime)
+      Finish();
+    return false;
+  }
+
+  void Finish() {
+    state_.phase = Phase::kLeft;
+    state_.actions.emplace_back(LeaveFinished{});
+  }
+
+  DispatchState& state_;
+  std::map<std::uint64_t, Arrival> arriving_;  // by incarnation
+  std::optional<Endpoint> successor_;
+  std::set<Endpoint> tried_;
+  std::set<std::uint64_t> waiting_;  // incarnations not yet accepted
+  Time deadline_;
+  std::optional<Time> announced_at_;
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibDispatch/worker_health.cc
@@ -0,0 +1,116 @@
+#include "LibDispatch/worker_health.h"
+
+#include <algorithm>
+
+namespace mustardbank {
+
+namespace {
+
+// Failures in a row, each of another job, until a worker is quarantined.
+constexpr std::uint32_t kFailuresTolerated = 3;
+constexpr Duration kQuarantine = std::chrono::seconds(2);
+constexpr Duration kLongestQuarantine = std::chrono::seconds(60);
+constexpr Duration kUnreachableBar = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaxRound = 6;
+// Longer than the platform's list lags behind.
+constexpr Duration kLeavingBar = std::chrono::seconds(30);
+constexpr Duration kShortestForeign = std::chrono::milliseconds(20);
+constexpr Duration kLongestForeign = std::chrono::milliseconds(500);
+constexpr double kSlownessSmoothing = 0.2;
+// More workers than one in this many are never quarantined at once: then the
+// jobs are at fault, not the workers.
+constexpr std::size_t kQuarantineFraction = 3;
+
+}  // namespace
+
+void WorkerHealth::DidEnd(const InFlightAttempt& attempt,
+                          const AttemptEnded& event,
+                          Time now) {
+  state_.workers.Update(attempt.worker, now, [&](Worker& worker) {
+    worker.running -= std::min(worker.running, 1U);
+    switch (event.result) {
+      case AttemptResult::kSucceeded:
+        DidSucceed(attempt, event, worker);
+        break;
+      case AttemptResult::kFailed:
+        state_.counters.Add(Counter::kTaskFailures);
+        DidFail(event, worker, now);
+        break;
+      case AttemptResult::kUnknown:
+        state_.counters.Add(Counter::kTaskUnknown);
+        DidFail(event, worker, now);
+        break;
+      case AttemptResult::kRefusedBusy:
+        state_.counters.Add(Counter::kWastedBusyRefusals);
+        DidRefuseBusy(attempt, worker, now);
+        break;
+      case AttemptResult::kRefusedLeaving:
+        state_.counters.Add(Counter::kWastedLeavingRefusals);
+        worker.barred_until = now + kLeavingBar;
+        state_.leaving_workers[worker.vm.name] = worker.barred_until;
+        break;
+      case AttemptResult::kNotSent:
+        state_.counters.Add(Counter::kWastedUnreachable);
+        if (worker.barred_until <= now)
+          Bar(worker, kUnreachableBar, now);
+        break;
+      case AttemptResult::kStale:
+        break;
+    }
+  });
+}
+
+void WorkerHealth::DidSucceed(const InFlightAttempt& attempt,
+                              const AttemptEnded& event,
+                              Worker& worker) {
+  state_.counters.Add(Counter::kTaskSuccesses);
+  worker.failures = 0;
+  worker.on_trial = false;
+  worker.quarantine_round = 0;
+  const double ratio = static_cast<double>(event.run_time.count()) /
+                       std::max<double>(1e6, attempt.expected.count());
+  worker.slowness += kSlownessSmoothing * (ratio - worker.slowness);
+  state_.run_times.DidRun(attempt.service, attempt.request, event.run_time);
+}
+
+void WorkerHealth::DidFail(const AttemptEnded& event,
+                           Worker& worker,
+                           Time now) {
+  if (worker.last_failed_job == event.sent.sequence && !worker.on_trial)
+    return;
+  worker.last_failed_job = event.sent.sequence;
+  ++worker.failures;
+  const bool is_due = worker.on_trial || worker.failures >= kFailuresTolerated;
+  if (is_due && worker.barred_until <= now && MayQuarantineMore(now)) {
+    state_.counters.Add(Counter::kQuarantines);
+    Bar(worker, kQuarantine, now);
+  }
+}
+
+void WorkerHealth::DidRefuseBusy(const InFlightAttempt& attempt,
+                                 Worker& worker,
+                                 Time now) {
+  ++worker.foreign;
+  const Duration until_free = std::clamp<Duration>(
+      state_.run_times.mean() / 2, kShortestForeign, kLongestForeign);
+  state_.timers.Add(Timer{.at = now + until_free,
+                          .kind = TimerKind::kForeignEnds,
+                          .subject = attempt.worker});
+}
+
+void WorkerHealth::Bar(Worker& worker, Duration duration, Time now) {
+  const Duration scaled = duration * (1U << worker.quarantine_round);
+  worker.barred_until = now + std::min(scaled, kLongestQuarantine);
+  worker.quarantine_round = std::min(worker.quarantine_round + 1, kMaxRound);
+  worker.on_trial = true;
+}
+
+bool WorkerHealth::MayQuarantineMore(Time now) const {
+  std::size_t barred = 0;
+  for (WorkerIndex i = 0; i < state_.workers.size(); ++i)
+    barred += state_.workers[i].barred_until > now ? 1 : 0;
+  return barred * kQuarantineFraction < state_.workers.size() ||
+         state_.workers.size() < kQuarantineFraction;
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibEntry/control_thread.h
@@ -0,0 +1,53 @@
+// The one thread of control state: feeds events to the decision core and
+// carries its actions to the other threads.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "LibConfig/settings.h"
+#include "LibDispatch/dispatch_state.h"
+#include "LibEntry/traffic_thread.h"
+
+namespace mustardbank {
+
+// Where actions go.
+struct ActionSinks {
+  std::vector<TrafficThread*> traffic;
+  std::function<void(Endpoint, wire::Envelope&&)> send_to_peer;
+  std::function<void(BindKeys&&)> bind_keys;
+  std::function<void(PublishIdentity&&)> publish_identity;
+  std::function<void(PublishSuccession&&)> publish_succession;
+  std::function<void()> leave_finished;
+};
+
+class ControlThread {
+ public:
+  using Inspection = std::function<void(const DispatchState&)>;
+
+  // Runs the core with the placement policy `placement`.
+  static std::unique_ptr<ControlThread> Create(Placement placement,
+                                               DispatchOptions options,
+                                               EventQueue& events,
+                                               ActionSinks sinks);
+  virtual ~ControlThread() = default;
+
+  virtual void Start() = 0;
+
+  // Has `inspection` called on the control thread, soon.
+  void Inspect(Inspection inspection);
+
+ protected:
+  std::vector<Inspection> TakeInspections();
+
+ private:
+  std::mutex mutex_;
+  std::vector<Inspection> inspections_;
+};
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibEntry/platform_loop.cc
@@ -0,0 +1,222 @@
+#include "LibEntry/platform_loop.h"
+
+#include <glog/logging.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <charconv>
+#include <type_traits>
+
+#include "LibPlatform/tables.h"
+
+namespace leaf = boost::leaf;
+
+namespace mustardbank {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRegistrationPoll{2000};
+constexpr std::chrono::milliseconds kWriteRetry{500};
+constexpr std::uint64_t kEntryVmKeptMs = 24ULL * 3600 * 1000;
+constexpr int kBindTries = 2;
+
+// Runs `function` and turns every platform error into its value for none.
+template <typename Function>
+auto OrNothing(Function&& function) {
+  using Value = std::remove_cvref_t<decltype(function().value())>;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<Value>> {
+        BOOST_LEAF_AUTO(value, function());
+        return std::optional<Value>(std::move(value));
+      },
+      [](const PlatformError& error) -> std::optional<Value> {
+        VLOG(1) << "platform: " << kPlatformFailureNames[error.failure] << ": "
+                << error.reason;
+        return std::nullopt;
+      },
+      [] { return std::optional<Value>(); });
+}
+
+std::uint64_t ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+PlatformLoop::PlatformLoop(const Settings& settings,
+                           FiberThread& thread,
+                           EventQueue& events)
+    : settings_(settings),
+      thread_(thread),
+      events_(events),
+      client_(thread.io(), settings.platform, settings.data_center) {}
+
+std::uint64_t PlatformLoop::RegisteredIncarnation(Endpoint endpoint) {
+  const auto row = OrNothing(
+      [&] { return client_.ReadRow(kEntryVmTable, endpoint.ToString()); });
+  if (!row || !*row)
+    return 0;
+  const auto entry = EntryVmRow::Parse((*row)->value);
+  return entry ? entry->incarnation : 0;
+}
+
+template <typename Function>
+void PlatformLoop::PollEvery(std::chrono::milliseconds interval,
+                             Function function) {
+  FiberThread::SpawnHere([interval, function] {
+    while (true) {
+      function();
+      SleepFiber(interval);
+    }
+  });
+}
+
+void PlatformLoop::Start() {
+  const std::chrono::milliseconds poll(settings_.timing.platform_poll_ms);
+  PollEvery(poll, [this] { PollConfiguration(); });
+  PollEvery(poll, [this] { PollEstate(); });
+  PollEvery(kRegistrationPoll, [this] { PollRegistrations(); });
+  PollEvery(kWriteRetry, [this] { WritePending(); });
+}
+
+void PlatformLoop::PollConfiguration() {
+  const auto row = OrNothing([&] {
+    return client_.ReadRow(kConfigurationTable, kConfigurationKey,
+                           configuration_row_);
+  });
+  if (!row || !*row || (*row)->version == 0)
+    return;
+  const Row& read = **row;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(configuration,
+                        Configuration::Parse(read.value, "configuration"));
+        events_.Push(ConfigurationRead{
+            .configuration = std::move(configuration), .text = read.value});
+        return {};
+      },
+      [](const ConfigError& error) {
+        LOG(ERROR) << "configuration on the platform is refused: "
+                   << error.ToString();
+      },
+      [] { LOG(ERROR) << "configuration on the platform can't be read"; });
+  configuration_row_ = read.version;
+}
+
+void PlatformLoop::PollEstate() {
+  auto estate = OrNothing([&] { return client_.ReadEstate(estate_version_); });
+  if (!estate || !*estate)
+    return;
+  estate_version_ = (*estate)->version;
+  events_.Push(EstateRead{.changes = std::move(**estate)});
+}
+
+void PlatformLoop::PollRegistrations() {
+  RegistrationsRead event;
+  const auto vms = OrNothing(
+      [&] { return client_.ReadTable(kEntryVmTable, vm_table_version_); });
+  if (vms && *vms) {
+    vm_table_version_ = (*vms)->version;
+    for (const Row& row : (*vms)->rows) {
+      const auto endpoint = Endpoint::Parse(row.key);
+      const auto entry = EntryVmRow::Parse(row.value);
+      if (!endpoint || !entry)
+        continue;
+      wire::VmIdentity& identity = event.vms.emplace_back();
+      identity.set_name(entry->name);
+      identity.set_data_center(entry->data_center);
+      identity.set_ip(endpoint->ip);
+      identity.set_port(endpoint->port);
+      identity.set_incarnation(entry->incarnation);
+    }
+  }
+  const auto successions = OrNothing([&] {
+    return client_.ReadTable(kSuccessionTable, succession_table_version_);
+  });
+  if (successions && *successions) {
+    succession_table_version_ = (*successions)->version;
+    for (const Row& row : (*successions)->rows) {
+      const auto endpoint = Endpoint::Parse(row.value);
+      if (!endpoint)
+        continue;
+      wire::Succession& succession = event.successions.emplace_back();
+      succession.set_incarnation(ParseNumber(row.key));
+      succession.set_ip(endpoint->ip);
+      succession.set_port(endpoint->port);
+    }
+  }
+  if (!event.vms.empty() || !event.successions.empty())
+    events_.Push(std::move(event));
+}
+
+void PlatformLoop::WritePending() {
+  while (!pending_.empty()) {
+    if (!OrNothing([&] { return client_.Transact({pending_.front()}); }))
+      return;
+    pending_.pop_front();
+  }
+}
+
+void PlatformLoop::RunBind(const BindKeys& keys) {
+  std::vector<Write> writes;
+  for (const KeyBinding& binding : keys.bindings) {
+    writes.push_back(Write{.kind = WriteKind::kPutIfAbsent,
+                           .table = std::string(kKeyTable),
+                           .key = KeyRowKey(binding.team, binding.key),
+                           .value = binding.job_id,
+                           .ttl_ms = settings_.limits.key_kept_ms});
+  }
+  KeysBound bound{.batch = keys.batch, .bindings = keys.bindings};
+  // A write whose answer was lost may have taken effect: the same write again
+  // yields what is bound.
+  for (int i = 0; i < kBindTries && !bound.succeeded; ++i) {
+    const auto rows = OrNothing([&] { return client_.Transact(writes); });
+    if (!rows || rows->size() != bound.bindings.size())
+      continue;
+    for (std::size_t k = 0; k < rows->size(); ++k)
+      bound.bindings[k].job_id = (*rows)[k].value;
+    bound.succeeded = true;
+  }
+  events_.Push(std::move(bound));
+}
+
+void PlatformLoop::Bind(BindKeys&& keys) {
+  thread_.Post([this, keys = std::move(keys)]() mutable {
+    fibers_.Run([this, keys = std::move(keys)] { RunBind(keys); });
+  });
+}
+
+void PlatformLoop::Publish(PublishIdentity&& action) {
+  const wire::VmIdentity& identity = action.identity;
+  const EntryVmRow row{.name = identity.name(),
+                       .data_center = identity.data_center(),
+                       .incarnation = identity.incarnation()};
+  const Endpoint endpoint{.ip = identity.ip(),
+                          .port = static_cast<std::uint16_t>(identity.port())};
+  thread_.Post([this, write = Write{.kind = WriteKind::kPut,
+                                    .table = std::string(kEntryVmTable),
+                                    .key = endpoint.ToString(),
+                                    .value = row.ToJson(),
+                                    .ttl_ms = kEntryVmKeptMs}] {
+    pending_.push_back(write);
+  });
+}
+
+void PlatformLoop::Publish(PublishSuccession&& action) {
+  const wire::Succession& succession = action.succession;
+  const Endpoint endpoint{
+      .ip = succession.ip(),
+      .port = static_cast<std::uint16_t>(succession.port())};
+  thread_.Post(
+      [this, write = Write{.kind = WriteKind::kPut,
+                           .table = std::string(kSuccessionTable),
+                           .key = std::to_string(succession.incarnation()),
+                           .value = endpoint.ToString(),
+                           .ttl_ms = settings_.limits.answer_kept_ms}] {
+        pending_.push_back(write);
+        fibers_.Run([this] { WritePending(); });
+      });
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibEntry/worker_client.cc
@@ -0,0 +1,166 @@
+#include "LibEntry/worker_client.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <charconv>
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace mustardbank {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{300};
+// Idle connections kept to a worker: its slots, with some to spare for
+// attempts whose end was not yet seen.
+constexpr std::size_t kMaxIdle = 12;
+
+std::string FormatAttempt(const AttemptId& id) {
+  return std::to_string(id.incarnation) + '.' + std::to_string(id.sequence) +
+         '.' + std::to_string(id.task) + '.' + std::to_string(id.attempt);
+}
+
+// Yields an id that matches none if the text is malformed.
+AttemptId ParseAttempt(std::string_view text) {
+  std::array<std::uint64_t, 4> fields{};
+  const char* next = text.data();
+  const char* const end = text.data() + text.size();
+  for (std::uint64_t& field : fields) {
+    const auto [rest, error] = std::from_chars(next, end, field);
+    if (error != std::errc())
+      return {};
+    next = rest == end ? rest : rest + 1;
+  }
+  return AttemptId{.incarnation = fields[0],
+                   .sequence = fields[1],
+                   .task = static_cast<std::uint32_t>(fields[2]),
+                   .attempt = static_cast<std::uint32_t>(fields[3])};
+}
+
+// A body as JSON text: as it is if it is JSON, else as a JSON string.
+std::string ToJsonText(const HttpResponse& response) {
+  json::error_code error;
+  if (response.content_type.starts_with(kJsonType)) {
+    const json::value parsed = json::parse(response.body, error);
+    if (!error)
+      return response.body;
+  }
+  return json::serialize(json::string(response.body));
+}
+
+AttemptResult ResultOf(const HttpResponse& response) {
+  if (response.status >= 200 && response.status < 300)
+    return AttemptResult::kSucceeded;
+  if (response.header("Mustardbank-Ran") != kRanNames[Ran::kNotRun])
+    return AttemptResult::kFailed;
+  return response.header("Mustardbank-Reason") == "leaving"
+             ? AttemptResult::kRefusedLeaving
+             : AttemptResult::kRefusedBusy;
+}
+
+AttemptResult ResultOf(HttpFailure failure) {
+  switch (failure) {
+    case HttpFailure::kNotConnected:
+    case HttpFailure::kNotSent:
+      return AttemptResult::kNotSent;
+    case HttpFailure::kTimedOut:
+    case HttpFailure::kLost:
+      return AttemptResult::kUnknown;
+  }
+  return AttemptResult::kUnknown;
+}
+
+}  // namespace
+
+WorkerClient::WorkerClient(boost::asio::io_context& io,
+                           std::string data_center,
+                           DidEnd did_end)
+    : io_(io),
+      data_center_(std::move(data_center)),
+      did_end_(std::move(did_end)) {}
+
+void WorkerClient::Start(StartTask task) {
+  ++attempts_;
+  fibers_.Run([this, task = std::move(task)] {
+    did_end_(Run(task));
+    --attempts_;
+  });
+}
+
+AttemptEnded WorkerClient::Run(const StartTask& task) {
+  AttemptEnded ended{
+      .sent = task.attempt, .answered = task.attempt, .worker = task.worker};
+  return leaf::try_handle_all([&] { return Exchange(task); },
+                              [&](const HttpError& error) {
+                                ended.result = ResultOf(error.failure);
+                                return ended;
+                              },
+                              [&] { return ended; });
+}
+
+leaf::result<AttemptEnded> WorkerClient::Exchange(const StartTask& task) {
+  AttemptEnded ended{
+      .sent = task.attempt, .answered = task.attempt, .worker = task.worker};
+  BOOST_LEAF_AUTO(connection, Acquire(task));
+  HttpRequest request{
+      .method = "POST",
+      .target = "/v1/tasks",
+      .headers = {{"Content-Type", std::string(kJsonType)},
+                  {"Data-Center", data_center_},
+                  {"Mustardbank-Attempt", FormatAttempt(task.attempt)},
+                  {"Mustardbank-Job", task.job_id},
+                  {"Mustardbank-Service", task.service},
+                  {"Mustardbank-Request", task.request}},
+      .body = task.payload};
+  // The last moment before the start: the process may have been paused since
+  // the decision.
+  const Time started = BootClock::now();
+  if (started > task.start_before) {
+    ended.result = AttemptResult::kStale;
+    return ended;
+  }
+  BOOST_LEAF_AUTO(
+      response,
+      connection->Exchange(
+          request,
+          std::chrono::duration_cast<std::chrono::milliseconds>(task.timeout)));
+  ended.run_time = BootClock::now() - started;
+  ended.answered = ParseAttempt(response.header("Mustardbank-Attempt"));
+  ended.result = ResultOf(response);
+  ended.body = ToJsonText(response);
+  // A connection that answered for another attempt is out of step.
+  Pool& pool = PoolOf(task);
+  if (ended.answered == task.attempt && pool.idle.size() < kMaxIdle)
+    pool.idle.push_back(std::move(connection));
+  return ended;
+}
+
+WorkerClient::Pool& WorkerClient::PoolOf(const StartTask& task) {
+  Pool& pool = pools_[task.worker];
+  if (pool.endpoint != task.endpoint) {
+    pool.idle.clear();
+    pool.endpoint = task.endpoint;
+  }
+  return pool;
+}
+
+leaf::result<std::unique_ptr<HttpConnection>> WorkerClient::Acquire(
+    const StartTask& task) {
+  Pool& pool = PoolOf(task);
+  while (!pool.idle.empty()) {
+    auto connection = std::move(pool.idle.back());
+    pool.idle.pop_back();
+    if (connection->IsReusable())
+      return connection;
+  }
+  auto connection = std::make_unique<HttpConnection>(io_);
+  BOOST_LEAF_CHECK(connection->Connect(task.endpoint, kConnectTimeout));
+  return connection;
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibFiber/fiber_thread.cc
@@ -0,0 +1,46 @@
+#include "LibFiber/fiber_thread.h"
+
+#include <boost/fiber/fixedsize_stack.hpp>
+#include <boost/fiber/operations.hpp>
+#include <memory>
+
+#include "LibFiber/asio_scheduler.h"
+#include "LibFiber/await.h"
+
+namespace mustardbank {
+
+namespace {
+
+constexpr std::size_t kStackBytes = 128 * 1024;
+
+}  // namespace
+
+FiberThread::FiberThread()
+    : work_(boost::asio::make_work_guard(io_)), thread_([this] { Run(); }) {}
+
+// Fibers that still wait for a peer can't be ended from outside; the process
+// ends its threads by leaving.
+FiberThread::~FiberThread() {
+  thread_.detach();
+}
+
+void FiberThread::Run() {
+  boost::fibers::use_scheduling_algorithm<AsioScheduler>(io_);
+  FiberSignal never;
+  never.Wait();
+}
+
+void FiberThread::Spawn(std::function<void()> function) {
+  Post([function = std::move(function)]() mutable {
+    SpawnHere(std::move(function));
+  });
+}
+
+void FiberThread::SpawnHere(std::function<void()> function) {
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                       boost::fibers::fixedsize_stack(kStackBytes),
+                       std::move(function))
+      .detach();
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibHttp/http_client.cc
@@ -0,0 +1,142 @@
+#include "LibHttp/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/leaf/error.hpp>
+
+#include "LibFiber/await.h"
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+
+namespace mustardbank {
+
+struct HttpConnection::Impl {
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool reusable = false;
+  std::string host;
+};
+
+namespace {
+
+constexpr std::size_t kResponseBytes = 256 * 1024 * 1024;
+
+http::request<http::string_body> ToMessage(const HttpRequest& request,
+                                           const std::string& host) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, host);
+  for (const auto& [name, value] : request.headers)
+    message.set(name, value);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse ToResponse(http::response<http::string_body>&& message) {
+  HttpResponse response;
+  response.status = message.result_int();
+  response.content_type = std::string(message[http::field::content_type]);
+  for (const auto& field : message)
+    response.headers.emplace_back(field.name_string(), field.value());
+  response.body = std::move(message.body());
+  return response;
+}
+
+HttpFailure FailureOf(const beast::error_code& error) {
+  return error == beast::error::timeout ? HttpFailure::kTimedOut
+                                        : HttpFailure::kLost;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(asio::io_context& io)
+    : impl_(std::make_unique<Impl>(Impl{.stream = beast::tcp_stream(io)})) {}
+
+HttpConnection::~HttpConnection() = default;
+
+leaf::result<void> HttpConnection::Connect(Endpoint endpoint,
+                                           std::chrono::milliseconds timeout) {
+  impl_->host = endpoint.ToString();
+  impl_->stream.expires_after(timeout);
+  const IoResult connected = Await([&](auto handler) {
+    impl_->stream.async_connect(
+        tcp::endpoint(asio::ip::address_v4(endpoint.ip), endpoint.port),
+        std::move(handler));
+  });
+  if (connected.error) {
+    return leaf::new_error(HttpError{.failure = HttpFailure::kNotConnected,
+                                     .reason = connected.error.message()});
+  }
+  beast::error_code ignored;
+  impl_->stream.socket().set_option(tcp::no_delay(true), ignored);
+  impl_->reusable = true;
+  return {};
+}
+
+leaf::result<HttpResponse> HttpConnection::Exchange(
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout) {
+  impl_->reusable = false;
+  const http::request<http::string_body> message =
+      ToMessage(request, impl_->host);
+  impl_->stream.expires_after(timeout);
+  const IoResult written = Await([&](auto handler) {
+    http::async_write(impl_->stream, message, std::move(handler));
+  });
+  if (written.error) {
+    Close();
+    return leaf::new_error(HttpError{.failure = written.bytes == 0
+                                                    ? HttpFailure::kNotSent
+                                                    : FailureOf(written.error),
+                                     .reason = written.error.message()});
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kResponseBytes);
+  const IoResult read = Await([&](auto handler) {
+    http::async_read(impl_->stream, impl_->buffer, parser, std::move(handler));
+  });
+  if (read.error) {
+    Close();
+    return leaf::new_error(HttpError{.failure = FailureOf(read.error),
+                                     .reason = read.error.message()});
+  }
+  impl_->reusable = parser.get().keep_alive() && impl_->buffer.size() == 0;
+  return ToResponse(parser.release());
+}
+
+bool HttpConnection::IsReusable() {
+  if (!impl_->reusable)
+    return false;
+  // An idle connection with readable bytes was closed or is out of step.
+  char byte = 0;
+  const auto received = ::recv(impl_->stream.socket().native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpConnection::Close() {
+  impl_->reusable = false;
+  impl_->stream.close();
+}
+
+leaf::result<HttpResponse> ExchangeOnce(asio::io_context& io,
+                                        Endpoint endpoint,
+                                        const HttpRequest& request,
+                                        std::chrono::milliseconds timeout) {
+  HttpConnection connection(io);
+  BOOST_LEAF_CHECK(connection.Connect(endpoint, timeout));
+  return connection.Exchange(request, timeout);
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Libraries/LibHttp/http_client.h
@@ -0,0 +1,60 @@
+// One HTTP/1.1 client connection, used by one fiber at a time.
+#pragma once
+
+#include <boost/leaf/result.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "LibCore/endpoint.h"
+#include "LibCore/enum_names.h"
+#include "LibHttp/http_message.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace mustardbank {
+
+// How an exchange failed, by what the server may have seen of it.
+enum class HttpFailure { kNotConnected, kNotSent, kTimedOut, kLost };
+
+inline constexpr EnumNames<HttpFailure, 4> kHttpFailureNames{
+    {"not connected", "not sent", "timed out", "connection lost"}};
+
+struct HttpError {
+  HttpFailure failure = HttpFailure::kNotConnected;
+  std::string reason;
+};
+
+class HttpConnection {
+ public:
+  explicit HttpConnection(boost::asio::io_context& io);
+  ~HttpConnection();
+
+  // Opens the connection; fails with HttpError.
+  boost::leaf::result<void> Connect(Endpoint endpoint,
+                                    std::chrono::milliseconds timeout);
+
+  // Sends a request and waits for its response; fails with HttpError. After
+  // a failure the connection is closed and must not be used again.
+  boost::leaf::result<HttpResponse> Exchange(const HttpRequest& request,
+                                             std::chrono::milliseconds timeout);
+
+  // Whether the server still keeps the idle connection open.
+  bool IsReusable();
+  void Close();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// Connects, exchanges one request and closes; fails with HttpError.
+boost::leaf::result<HttpResponse> ExchangeOnce(
+    boost::asio::io_context& io,
+    Endpoint endpoint,
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout);
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Services/Mustardbank/entry_command.cc
@@ -0,0 +1,82 @@
+// mustardbank entry: the daemon of one entry VM.
+#include <glog/logging.h>
+#include <pthread.h>
+#include <sysexits.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "LibConfig/settings.h"
+#include "LibEntry/entry_error.h"
+#include "LibEntry/entry_process.h"
+#include "Mustardbank/commands.h"
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace mustardbank {
+
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+void PrintEndpoints(const EntryEndpoints& endpoints) {
+  std::cout << json::serialize(
+                   json::object{{"callers", endpoints.callers.ToString()},
+                                {"operators", endpoints.operators.ToString()},
+                                {"peers", endpoints.peers.ToString()}})
+            << std::endl;
+}
+
+leaf::result<int> Run(const std::string& file) {
+  BOOST_LEAF_AUTO(settings, Settings::Load(file));
+  if (!settings.log_directory.empty()) {
+    FLAGS_log_dir = settings.log_directory;
+    FLAGS_logtostderr = false;
+  }
+  // Blocked before any thread starts, so that only sigwait sees them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string name = settings.name;
+  BOOST_LEAF_AUTO(process, EntryProcess::Start(std::move(settings)));
+  PrintEndpoints(process->endpoints());
+  LOG(INFO) << "entry VM " << name << " started";
+  int signal = 0;
+  sigwait(&signals, &signal);
+  LOG(INFO) << "entry VM " << name << " drains";
+  process->Drain();
+  process->WaitUntilDrained();
+  LOG(INFO) << "entry VM " << name << " stopped";
+  google::FlushLogFiles(google::INFO);
+  // Fibers that wait for idle connections never end; leave without them.
+  std::_Exit(EX_OK);
+}
+
+}  // namespace
+
+int RunEntryCommand(const Arguments& arguments) {
+  return leaf::try_handle_all(
+      [&] { return Run(arguments.at("SETTINGS").asString()); },
+      [](const ConfigError& error) {
+        std::cerr << error.ToString() << '\n';
+        return EX_CONFIG;
+      },
+      [](const StartError& error) {
+        std::cerr << error.reason << '\n';
+        return EX_UNAVAILABLE;
+      },
+      [] { return EX_SOFTWARE; });
+}
+
+}  // namespace mustardbank
