LibLoad, LibConfig: Add the load tool and the questionnaire

The load tool draws jobs from a seeded source, resubmits lost ones under their id at other entry VMs, and checks that each complete answer is whole and its own.

--- a/Libraries/LibConfig/json_reader.cc
+++ b/Libraries/LibConfig/json_reader.cc
@@ -1,5 +1,7 @@
 #include "LibConfig/json_reader.h"
 
+#include <sstream>
+
 namespace json = boost::json;
 
 namespace mustardbank {
@@ -84,6 +86,24 @@
   return value ? Integer(key, *value, least, most) : fallback;
 }
 
+double JsonObjectReader::OptionalNumber(std::string_view key,
+                                        double fallback,
+                                        double least,
+                                        double most) {
+  const json::value* value = Find(key);
+  if (!value)
+    return fallback;
+  if (value->is_number()) {
+    const auto number = value->to_number<double>();
+    if (number >= least && number <= most)
+      return number;
+  }
+  std::ostringstream expected;
+  expected << "expected a number from " << least << " to " << most;
+  Fault(key, expected.str());
+  return least;
+}
+
 bool JsonObjectReader::OptionalBool(std::string_view key, bool fallback) {
   const json::value* value = Find(key);
   if (!value)
--- a/Libraries/LibConfig/json_reader.h
+++ b/Libraries/LibConfig/json_reader.h
@@ -35,6 +35,10 @@
       std::uint64_t fallback,
       std::uint64_t least,
       std::uint64_t most = std::numeric_limits<std::int64_t>::max());
+  double OptionalNumber(std::string_view key,
+                        double fallback,
+                        double least,
+                        double most);
   bool OptionalBool(std::string_view key, bool fallback);
   std::vector<std::string> RequiredStrings(std::string_view key);
   std::vector<std::string> OptionalStrings(std::string_view key);
--- /dev/null
+++ b/Libraries/LibLoad/load_generator.cc
@@ -0,0 +1,448 @@
+#include "LibLoad/load_generator.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <cmath>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "LibFiber/fiber_pool.h"
+#include "LibFiber/fiber_thread.h"
+#include "LibHttp/http_client.h"
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace mustardbank {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+using SteadyTime = SteadyClock::time_point;
+
+constexpr std::size_t kIdsAtOnce = 50;
+constexpr std::size_t kMaxIdleConnections = 512;
+constexpr std::chrono::milliseconds kShortestRetry{20};
+constexpr std::chrono::milliseconds kLongestRetry{1000};
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::chrono::milliseconds kPollInterval{20};
+
+double MillisecondsSince(SteadyTime start) {
+  return std::chrono::duration<double, std::milli>(SteadyClock::now() - start)
+      .count();
+}
+
+// A job as the generator drew it.
+struct DrawnJob {
+  SteadyTime intended;
+  bool is_measured = false;
+  bool is_cancelled = false;
+  std::size_t entry = 0;
+  std::uint32_t tasks = 0;
+  double longest_ms = 0;
+  std::string body;
+};
+
+// Draws jobs from a seeded generator.
+class JobSource {
+ public:
+  explicit JobSource(const LoadPlan& plan)
+      : plan_(plan), random_(plan.seed), gap_(plan.jobs_per_second) {
+    std::vector<double> request_weights;
+    for (const LoadRequest& request : plan.mix)
+      request_weights.push_back(request.weight);
+    pick_request_ = {request_weights.begin(), request_weights.end()};
+    std::vector<double> size_weights;
+    for (const LoadJobSize& size : plan.job_sizes)
+      size_weights.push_back(size.weight);
+    pick_size_ = {size_weights.begin(), size_weights.end()};
+  }
+
+  // Seconds from the start until the next arrival.
+  double NextArrival() { return arrival_ += gap_(random_); }
+
+  DrawnJob Draw() {
+    DrawnJob job;
+    job.entry = random_() % plan_.entries.size();
+    job.is_cancelled =
+        std::bernoulli_distribution(plan_.cancel_fraction)(random_);
+    job.tasks = plan_.job_sizes[pick_size_(random_)].tasks;
+    json::array tasks;
+    for (std::uint32_t i = 0; i < job.tasks; ++i) {
+      const LoadRequest& request = plan_.mix[pick_request_(random_)];
+      const double run_ms = DrawRunTime(request);
+      job.longest_ms = std::max(job.longest_ms, run_ms);
+      json::object task{{"request", request.request},
+                        {"payload", {{"run_ms", run_ms}, {"tag", i}}}};
+      const auto declared =
+          static_cast<std::int64_t>(run_ms * request.declared_factor);
+      if (declared > 0)
+        task["declared_ms"] = declared;
+      tasks.push_back(std::move(task));
+    }
+    job.body = json::serialize(
+        json::object{{"service", plan_.service}, {"tasks", std::move(tasks)}});
+    return job;
+  }
+
+ private:
+  double DrawRunTime(const LoadRequest& request) {
+    double run_ms = request.mean_ms;
+    switch (request.shape) {
+      case RunTimeShape::kConstant:
+        break;
+      case RunTimeShape::kUniform:
+        run_ms = std::uniform_real_distribution<double>(
+            0, 2 * request.mean_ms)(random_);
+        break;
+      case RunTimeShape::kLognormal: {
+        // The mean of a lognormal is exp(mu + sigma^2 / 2).
+        const double mu =
+            std::log(request.mean_ms) - request.sigma * request.sigma / 2;
+        run_ms = std::lognormal_distribution<double>(mu, request.sigma)(random_);
+        break;
+      }
+    }
+    return std::clamp(run_ms, request.least_ms, request.most_ms);
+  }
+
+  const LoadPlan& plan_;
+  std::mt19937_64 random_;
+  std::exponential_distribution<double> gap_;
+  std::discrete_distribution<std::size_t> pick_request_;
+  std::discrete_distribution<std::size_t> pick_size_;
+  double arrival_ = 0;
+};
+
+// Shared by the threads of a run.
+struct RunState {
+  std::mutex mutex;
+  LoadReport report;
+  std::atomic<std::uint64_t> sent{0};
+  std::atomic<std::uint64_t> ended{0};
+};
+
+// The callers of one thread.
+class CallerThread {
+ public:
+  CallerThread(const LoadPlan& plan, RunState& state)
+      : plan_(plan), state_(state), connections_(plan.entries.size()),
+        ids_(plan.entries.size()) {}
+
+  void Send(DrawnJob job) {
+    thread_.Post([this, job = std::move(job)]() mutable {
+      fibers_.Run([this, job = std::move(job)] { RunJob(job); });
+    });
+  }
+
+ private:
+  using Connection = std::unique_ptr<HttpConnection>;
+
+  enum class Ending { kComplete, kFailed, kRefused, kCancelled, kUnanswered };
+
+  struct Outcome {
+    Ending ending = Ending::kUnanswered;
+    bool is_wrong = false;
+    std::string problem;
+    std::uint64_t resubmissions = 0;
+  };
+
+  std::optional<HttpResponse> Exchange(std::size_t entry,
+                                       HttpRequest request,
+                                       std::chrono::milliseconds timeout) {
+    request.headers.emplace_back("Authorization", "Bearer " + plan_.token);
+    std::vector<Connection>& idle = connections_[entry];
+    Connection connection;
+    while (!idle.empty() && !connection) {
+      connection = std::move(idle.back());
+      idle.pop_back();
+      if (!connection->IsReusable())
+        connection.reset();
+    }
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<HttpResponse>> {
+          if (!connection) {
+            connection = std::make_unique<HttpConnection>(thread_.io());
+            BOOST_LEAF_CHECK(
+                connection->Connect(plan_.entries[entry], kConnectTimeout));
+          }
+          BOOST_LEAF_AUTO(response, connection->Exchange(request, timeout));
+          if (idle.size() < kMaxIdleConnections)
+            idle.push_back(std::move(connection));
+          return std::optional(std::move(response));
+        },
+        [] { return std::optional<HttpResponse>(); });
+  }
+
+  // Takes an id that was handed out ahead, or asks for more.
+  std::string TakeId(std::size_t entry) {
+    std::vector<std::string>& ids = ids_[entry];
+    if (ids.empty()) {
+      const auto response = Exchange(
+          entry,
+          HttpRequest{.method = "POST",
+                      .target = "/v1/job-ids",
+                      .body = json::serialize(
+                          json::object{{"count", kIdsAtOnce}})},
+          std::chrono::milliseconds(1000));
+      if (!response || response->status != 200)
+        return "";
+      json::error_code error;
+      const json::value body = json::parse(response->body, error);
+      if (error)
+        return "";
+      for (const json::value& id : body.at("ids").as_array())
+        ids.emplace_back(id.as_string());
+    }
+    if (ids.empty())
+      return "";
+    std::string id = std::move(ids.back());
+    ids.pop_back();
+    return id;
+  }
+
+  static std::string Member(const json::value& body, std::string_view name) {
+    const json::object* object = body.if_object();
+    const json::value* value = object ? object->if_contains(name) : nullptr;
+    return value && value->is_string() ? std::string(value->get_string()) : "";
+  }
+
+  // Whether a complete answer holds each result of this very job, in order.
+  static bool IsWhole(const json::value& body,
+                      const std::string& id,
+                      std::uint32_t tasks) {
+    const json::value* results = body.as_object().if_contains("results");
+    if (Member(body, "job") != id || !results || !results->is_array() ||
+        results->get_array().size() != tasks) {
+      return false;
+    }
+    std::uint32_t index = 0;
+    for (const json::value& result : results->get_array()) {
+      const json::object* object = result.if_object();
+      const json::value* echo = object ? object->if_contains("echo") : nullptr;
+      if (Member(result, "job") != id || !echo || !echo->is_number() ||
+          echo->to_number<std::uint32_t>() != index) {
+        return false;
+      }
+      ++index;
+    }
+    return true;
+  }
+
+  void Pause(const json::value& body, SteadyTime deadline) {
+    std::chrono::milliseconds pause = kShortestRetry;
+    const json::object* object = body.if_object();
+    const json::value* retry =
+        object ? object->if_contains("retry_after_ms") : nullptr;
+    if (retry && retry->is_int64())
+      pause = std::chrono::milliseconds(retry->get_int64());
+    pause = std::clamp(pause, kShortestRetry, kLongestRetry);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - SteadyClock::now());
+    SleepFiber(std::max(std::chrono::milliseconds(0), std::min(pause, left)));
+  }
+
+  // Submits, and submits again where the answer is lost or not final.
+  Outcome Submit(const DrawnJob& job, SteadyTime deadline) {
+    Outcome outcome;
+    std::size_t entry = job.entry;
+    std::string id;
+    bool is_sent = false;
+    while (SteadyClock::now() < deadline) {
+      if (id.empty())
+        id = TakeId(entry);
+      if (id.empty()) {
+        entry = (entry + 1) % plan_.entries.size();
+        SleepFiber(kShortestRetry);
+        continue;
+      }
+      outcome.resubmissions += is_sent ? 1 : 0;
+      is_sent = true;
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+          deadline - SteadyClock::now());
+      const auto response =
+          Exchange(entry,
+                   HttpRequest{.method = "POST",
+                               .target = "/v1/jobs/" + id + "?wait=60",
+                               .body = job.body},
+                   std::max(left, kShortestRetry));
+      if (!response) {
+        entry = (entry + 1) % plan_.entries.size();
+        SleepFiber(kShortestRetry);
+        continue;
+      }
+      json::error_code error;
+      const json::value body = json::parse(response->body, error);
+      if (error || !body.is_object()) {
+        outcome.is_wrong = true;
+        return outcome;
+      }
+      if (response->status == 200) {
+        outcome.ending = Ending::kComplete;
+        outcome.is_wrong = !IsWhole(body, id, job.tasks);
+        return outcome;
+      }
+      outcome.problem = Member(body, "type");
+      if (outcome.problem == "urn:mustardbank:problem:issuer-left") {
+        id.clear();
+        ids_[job.entry].clear();
+        entry = (entry + 1) % plan_.entries.size();
+        continue;
+      }
+      if (outcome.problem == "urn:mustardbank:problem:overloaded") {
+        outcome.ending = Ending::kRefused;
+        return outcome;
+      }
+      if (response->status != 503 && response->status != 202) {
+        outcome.ending =
+            outcome.problem == "urn:mustardbank:problem:cancelled"
+                ? Ending::kCancelled
+                : Ending::kFailed;
+        return outcome;
+      }
+      if (response->status == 503)
+        entry = (entry + 1) % plan_.entries.size();
+      Pause(body, deadline);
+    }
+    return outcome;
+  }
+
+  void RunJob(const DrawnJob& job) {
+    const SteadyTime deadline =
+        job.intended + std::chrono::milliseconds(
+                           static_cast<std::int64_t>(plan_.deadline_s * 1000));
+    const Outcome outcome =
+        job.is_cancelled ? SubmitAndCancel(job) : Submit(job, deadline);
+    const double response_ms =
+        MillisecondsSince(job.intended) + 2 * plan_.client_latency_ms;
+    Record(job, outcome, response_ms);
+    ++state_.ended;
+  }
+
+  // Submits without waiting and cancels half way.
+  Outcome SubmitAndCancel(const DrawnJob& job) {
+    Outcome outcome;
+    const std::string id = TakeId(job.entry);
+    if (id.empty())
+      return outcome;
+    Exchange(job.entry,
+             HttpRequest{.method = "POST",
+                         .target = "/v1/jobs/" + id,
+                         .body = job.body},
+             std::chrono::milliseconds(2000));
+    SleepFiber(std::chrono::milliseconds(
+        static_cast<std::int64_t>(job.longest_ms / 2)));
+    const auto response = Exchange(
+        job.entry,
+        HttpRequest{.method = "DELETE", .target = "/v1/jobs/" + id},
+        std::chrono::milliseconds(2000));
+    if (response)
+      outcome.ending = Ending::kCancelled;
+    return outcome;
+  }
+
+  void Record(const DrawnJob& job,
+              const Outcome& outcome,
+              double response_ms) {
+    if (!job.is_measured)
+      return;
+    const std::lock_guard lock(state_.mutex);
+    LoadReport& report = state_.report;
+    ++report.jobs;
+    report.tasks += job.tasks;
+    report.wrong += outcome.is_wrong ? 1 : 0;
+    report.resubmissions += outcome.resubmissions;
+    if (outcome.ending != Ending::kComplete && !outcome.problem.empty())
+      ++report.problems[outcome.problem];
+    switch (outcome.ending) {
+      case Ending::kComplete: {
+        ++report.complete;
+        const double ideal_ms =
+            job.longest_ms + 2 * plan_.client_latency_ms;
+        report.response_over_ideal.Add(response_ms / std::max(0.1, ideal_ms));
+        report.response_ms.Add(response_ms);
+        break;
+      }
+      case Ending::kFailed:
+        ++report.failed;
+        break;
+      case Ending::kRefused:
+        ++report.refused;
+        report.refusal_ms.Add(response_ms);
+        break;
+      case Ending::kCancelled:
+        ++report.cancelled;
+        break;
+      case Ending::kUnanswered:
+        ++report.unanswered;
+        break;
+    }
+  }
+
+  const LoadPlan& plan_;
+  RunState& state_;
+  FiberThread thread_;
+  FiberPool fibers_;
+  std::vector<std::vector<Connection>> connections_;
+  std::vector<std::vector<std::string>> ids_;
+};
+
+}  // namespace
+
+LoadReport RunLoad(
+    const LoadPlan& plan,
+    const std::function<void(const LoadProgress&)>& did_progress) {
+  // Threads of fibers outlive the run, and with them what they use.
+  const auto kept_plan = std::make_shared<const LoadPlan>(plan);
+  const auto state = std::make_shared<RunState>();
+  static std::vector<std::pair<std::shared_ptr<const LoadPlan>,
+                               std::shared_ptr<RunState>>>
+      kept;
+  kept.emplace_back(kept_plan, state);
+  static std::vector<std::unique_ptr<CallerThread>> kept_threads;
+  std::vector<CallerThread*> threads;
+  for (std::uint32_t i = 0; i < plan.threads; ++i) {
+    kept_threads.push_back(std::make_unique<CallerThread>(*kept_plan, *state));
+    threads.push_back(kept_threads.back().get());
+  }
+  JobSource source(*kept_plan);
+  const SteadyTime start = SteadyClock::now();
+  double next_progress = 1;
+  const auto report_progress = [&] {
+    const double seconds = MillisecondsSince(start) / 1000;
+    if (!did_progress || seconds < next_progress)
+      return;
+    next_progress = seconds + 1;
+    did_progress(LoadProgress{
+        .seconds = seconds, .sent = state->sent, .ended = state->ended});
+  };
+  double arrival = source.NextArrival();
+  for (std::size_t i = 0; arrival < plan.duration_s;
+       ++i, arrival = source.NextArrival()) {
+    DrawnJob job = source.Draw();
+    job.intended = start + std::chrono::duration_cast<SteadyClock::duration>(
+                               std::chrono::duration<double>(arrival));
+    job.is_measured = arrival >= plan.warmup_s;
+    std::this_thread::sleep_until(job.intended);
+    ++state->sent;
+    threads[i % threads.size()]->Send(std::move(job));
+    report_progress();
+  }
+  while (state->ended < state->sent) {
+    std::this_thread::sleep_for(kPollInterval);
+    report_progress();
+  }
+  state->report.seconds = MillisecondsSince(start) / 1000;
+  return std::move(state->report);
+}
+
+}  // namespace mustardbank
--- a/Services/Mustardbank/main.cc
+++ b/Services/Mustardbank/main.cc
@@ -73,6 +73,8 @@
         {"apply", mustardbank::RunApplyCommand},
         {"show", mustardbank::RunShowCommand},
         {"dump", mustardbank::RunDumpCommand},
+        {"questionnaire", mustardbank::RunQuestionnaireCommand},
+        {"load", mustardbank::RunLoadCommand},
 };
 
 int Run(const mustardbank::Arguments& arguments) {
