--- a/Libraries/LibConfig/questionnaire.cc
+++ b/Libraries/LibConfig/questionnaire.cc
@@ -26,11 +26,13 @@
 };
 
 constexpr std::array<ToleranceRule, 3> kToleranceRules{{
-    {500, "a late answer is dangerous: wait at most half the ideal time, and "
-          "be told at once when that can't be met"},
+    {500,
+     "a late answer is dangerous: wait at most half the ideal time, and "
+     "be told at once when that can't be met"},
     {1000, "a late answer leaves people idle: wait at most the ideal time"},
-    {4000, "a late answer is a nuisance: wait up to four times the ideal "
-           "time before a refusal"},
+    {4000,
+     "a late answer is a nuisance: wait up to four times the ideal "
+     "time before a refusal"},
 }};
 
 TeamAnswers ReadTeam(JsonObjectReader& reader) {
@@ -58,8 +60,7 @@
   service.name = reader.RequiredString("name");
   service.teams = reader.RequiredStrings("teams");
   service.places = reader.RequiredStrings("places");
-  const auto lateness =
-      kLatenessNames.Find(reader.RequiredString("lateness"));
+  const auto lateness = kLatenessNames.Find(reader.RequiredString("lateness"));
   if (!lateness)
     reader.Fault("lateness", "expected danger, idleness or nuisance");
   service.lateness = lateness.value_or(service.lateness);
@@ -127,8 +128,9 @@
                      : "a second run does harm: at most one execution");
   writer.Member("idempotent", request.may_run_twice ? "true" : "false");
   writer.Member("declared_ms", Number(request.usual_ms));
-  writer.Comment("several times the longest run time expected, after which "
-                 "the outcome counts as unknown");
+  writer.Comment(
+      "several times the longest run time expected, after which "
+      "the outcome counts as unknown");
   writer.Member("timeout_ms",
                 Number(std::clamp(kTimeoutFactor * request.longest_ms,
                                   kLeastTimeoutMs, kMostTimeoutMs)));
--- a/Libraries/LibConfig/questionnaire.h
+++ b/Libraries/LibConfig/questionnaire.h
@@ -19,8 +19,8 @@
 
 struct RequestAnswers {
   std::string name;
-  bool may_run_twice = true;      // whether a second run does no harm
-  std::uint32_t usual_ms = 200;   // usual run time
+  bool may_run_twice = true;     // whether a second run does no harm
+  std::uint32_t usual_ms = 200;  // usual run time
   std::uint32_t longest_ms = 2'000;
 };
 
--- a/Libraries/LibCore/job_id.h
+++ b/Libraries/LibCore/job_id.h
@@ -13,11 +13,23 @@
 
 namespace mustardbank {
 
+// One life of an entry VM. Its number alone is not unique: two VMs may start
+// in the same instant.
+struct HomeId {
+  Endpoint endpoint;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const HomeId&) const = default;
+};
+
 struct JobId {
   Endpoint home;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
 
+  HomeId home_id() const {
+    return HomeId{.endpoint = home, .incarnation = incarnation};
+  }
   auto operator<=>(const JobId&) const = default;
 };
 
--- a/Libraries/LibDispatch/attempt_system.h
+++ b/Libraries/LibDispatch/attempt_system.h
@@ -38,7 +38,7 @@
       event.result = AttemptResult::kUnknown;
     }
     health_.DidEnd(attempt, event, now);
-    if (event.sent.incarnation != state_.incarnation())
+    if (event.sent.home != state_.home_id())
       return;
     const auto job = state_.jobs.find(event.sent.sequence);
     if (job == state_.jobs.end())
@@ -88,7 +88,7 @@
       ++worker.running;
       worker.borrowed_idle_since = now;
     });
-    const AttemptId attempt{.incarnation = state_.incarnation(),
+    const AttemptId attempt{.home = state_.home_id(),
                             .sequence = job.sequence,
                             .task = queued.task,
                             .attempt = task.attempt};
--- a/Libraries/LibDispatch/caller_system.h
+++ b/Libraries/LibDispatch/caller_system.h
@@ -19,7 +19,7 @@
   explicit CallerSystem(DispatchState& state) : state_(state) {}
 
   void Handle(IssueIds& event, Time /*now*/) {
-    const std::string* team = TeamOf(event.from, event.token_sha256);
+    const std::string* team = TeamOf(event.from, event.token_sha256, false);
     if (!team)
       return;
     if (state_.is_leaving()) {
@@ -39,7 +39,7 @@
   }
 
   void Handle(SubmitJob& event, Time now) {
-    const std::string* team = TeamOf(event.from, event.token_sha256);
+    const std::string* team = TeamOf(event.from, event.token_sha256, true);
     if (!team)
       return;
     if (!event.key.empty()) {
@@ -56,12 +56,12 @@
   }
 
   void Handle(QueryJob& event, Time now) {
-    if (const std::string* team = TeamOf(event.from, event.token_sha256))
+    if (const std::string* team = TeamOf(event.from, event.token_sha256, true))
       Query(*team, event.from, event.job_id, event.wait, now);
   }
 
   void Handle(CancelJob& event, Time now) {
-    if (const std::string* team = TeamOf(event.from, event.token_sha256))
+    if (const std::string* team = TeamOf(event.from, event.token_sha256, true))
       Cancel(*team, event.from, event.job_id, now);
   }
 
@@ -89,25 +89,31 @@
     auto node = state_.forwards.extract(reply.request());
     if (node.empty())
       return;
-    state_.Respond(node.mapped().from,
-                   Reply{.status = reply.status(),
-                         .body = std::move(*reply.mutable_body()),
-                         .retry_after_ms = reply.retry_after_ms()});
+    const Forward& forward = node.mapped();
+    if (reply.is_id_void() && forward.key) {
+      Release(forward.from, *forward.key);
+      return;
+    }
+    state_.Respond(forward.from, Reply{.status = reply.status(),
+                                       .body = std::move(*reply.mutable_body()),
+                                       .retry_after_ms = reply.retry_after_ms(),
+                                       .is_id_void = reply.is_id_void()});
   }
 
   void Handle(KeysBound& event, Time now) {
     for (KeyBinder::Bound& bound : state_.keys.Settle(event)) {
       for (SubmitJob& job : bound.jobs) {
-        if (bound.job_id.empty()) {
-          Refuse(job.from, Problem::kPlatformOut,
-                 "The idempotency key could not be bound.", {},
-                 kPlatformRetryMs);
+        if (!bound.binding) {
+          RefuseUnderKey(job.from, Problem::kPlatformOut,
+                         "The idempotency key could not be bound.",
+                         kPlatformRetryMs);
           continue;
         }
-        const std::string* team = TeamOf(job.from, job.token_sha256);
-        if (team)
-          Submit(*team, job.from, bound.job_id, std::move(job.job), job.wait,
-                 now);
+        const std::string* team = TeamOf(job.from, job.token_sha256, true);
+        if (team) {
+          Submit(*team, job.from, bound.binding->job_id, std::move(job.job),
+                 job.wait, now, &*bound.binding);
+        }
       }
     }
   }
@@ -133,6 +139,7 @@
   static constexpr std::uint32_t kElsewhereRetryMs = 100;
   static constexpr std::uint32_t kPlatformRetryMs = 2'000;
   static constexpr std::uint32_t kUnknownRetryMs = 1'000;
+  static constexpr std::uint32_t kReleaseRetryMs = 300;
   static constexpr Duration kForwardMargin = std::chrono::seconds(2);
   static constexpr double kGiveUpFactor = 3;
 
@@ -148,20 +155,47 @@
   struct Lost {};
   using Route = std::variant<Here, Inherited, Elsewhere, Unknown, Lost>;
 
-  const std::string* TeamOf(const Requester& from, const std::string& token) {
+  // `names_job` tells that the request names a job, which may have run
+  // whatever this VM knows of the caller.
+  const std::string* TeamOf(const Requester& from,
+                            const std::string& token,
+                            bool names_job) {
+    const Ran ran = names_job ? Ran::kMayHaveRun : Ran::kNotRun;
     if (state_.configuration.version == 0) {
       Refuse(from, Problem::kNotReady, "No configuration was read yet.", {},
-             kUnknownRetryMs);
+             kUnknownRetryMs, ran);
       return nullptr;
     }
     const auto it = state_.team_by_token.find(token);
     if (it != state_.team_by_token.end())
       return &it->second;
     Refuse(from, Problem::kUnauthorized,
-           "Send a team's token: Authorization: Bearer TOKEN.");
+           "Send a team's token: Authorization: Bearer TOKEN.", {}, 0, ran);
     return nullptr;
   }
 
+  // Refuses a submission under a key of which this VM can't tell whether an
+  // earlier submission under it ran.
+  void RefuseUnderKey(const Requester& from,
+                      Problem problem,
+                      const std::string& detail,
+                      std::uint32_t retry_after_ms) {
+    Refuse(from, problem,
+           detail +
+               " This submission did not run; an earlier one under the "
+               "key may have.",
+           {}, retry_after_ms, Ran::kMayHaveRun);
+  }
+
+  // Frees a key whose job id is void, so that the caller's next try binds it
+  // anew.
+  void Release(const Requester& from, const KeyBinding& key) {
+    state_.actions.emplace_back(ReleaseKey{.binding = key});
+    Refuse(from, Problem::kKeyReleased,
+           "The VM that held the key has left. Submit again.", {},
+           kReleaseRetryMs);
+  }
+
   void Refuse(const Requester& from,
               Problem problem,
               std::string_view detail,
@@ -173,6 +207,15 @@
                    ProblemReply(problem, ran, detail, job_id, retry_after_ms));
   }
 
+  // The id was never used, and its issuer accepts no more jobs.
+  void RefuseVoidId(const Requester& from) {
+    state_.counters.Add(Counter::kJobsRefused);
+    Reply reply = ProblemReply(Problem::kIssuerLeft, Ran::kNotRun,
+                               "Take a new id and submit again.");
+    reply.is_id_void = true;
+    state_.Respond(from, std::move(reply));
+  }
+
   std::string NewId(const std::string& team) {
     return state_.ids.Encode(JobId{.home = state_.endpoint(),
                                    .incarnation = state_.incarnation(),
@@ -181,9 +224,9 @@
   }
 
   Route RouteOf(const JobId& id, Time now) {
-    if (id.home == state_.endpoint() && id.incarnation == state_.incarnation())
+    if (id.home_id() == state_.home_id())
       return Here{};
-    const auto inherited = state_.inherited.find(id.incarnation);
+    const auto inherited = state_.inherited.find(id.home_id());
     if (inherited != state_.inherited.end())
       return Inherited{inherited->second};
     const auto elsewhere = [this](Endpoint home) -> Route {
@@ -191,9 +234,9 @@
         return Lost{};
       return Elsewhere{home};
     };
-    switch (state_.membership.FateOf(id.home, id.incarnation, now)) {
+    switch (state_.membership.FateOf(id.home_id(), now)) {
       case HomeFate::kSucceeded:
-        return elsewhere(*state_.membership.SuccessorOf(id.incarnation));
+        return elsewhere(*state_.membership.SuccessorOf(id.home_id()));
       case HomeFate::kReachable:
         return elsewhere(id.home);
       case HomeFate::kUncertain:
@@ -227,7 +270,11 @@
     // two VMs differ for now.
     const bool is_second_hop =
         from.peer && std::holds_alternative<Elsewhere>(route);
-    if (is_second_hop || std::holds_alternative<Unknown>(route)) {
+    const bool is_stopping =
+        (state_.phase == Phase::kHandingOver || state_.phase == Phase::kLeft) &&
+        std::holds_alternative<Elsewhere>(route);
+    if (is_second_hop || is_stopping ||
+        std::holds_alternative<Unknown>(route)) {
       Refuse(from, Problem::kHomeUnreachable,
              "What became of the job's home is not known yet.", text,
              kUnknownRetryMs, Ran::kMayHaveRun);
@@ -264,13 +311,13 @@
 
   void SubmitUnderKey(const std::string& team, SubmitJob&& event) {
     if (state_.is_leaving()) {
-      Refuse(event.from, Problem::kLeaving, "Ask another entry VM.", {},
-             kElsewhereRetryMs);
+      RefuseUnderKey(event.from, Problem::kLeaving, "Ask another entry VM.",
+                     kElsewhereRetryMs);
       return;
     }
     if (const auto refusal = CheckJob(state_, team, event.job)) {
-      Refuse(event.from, refusal->problem, refusal->detail, {},
-             refusal->retry_after_ms);
+      RefuseUnderKey(event.from, refusal->problem, refusal->detail,
+                     refusal->retry_after_ms);
       return;
     }
     state_.keys.Add(team, std::move(event), [&] { return NewId(team); });
@@ -281,21 +328,29 @@
               const std::string& text,
               wire::JobSpec job,
               Duration wait,
-              Time now) {
+              Time now,
+              const KeyBinding* key = nullptr) {
     const auto located = Locate(team, from, text, now);
     if (!located)
       return;
     const auto& [id, route] = *located;
     if (const auto* elsewhere = std::get_if<Elsewhere>(&route)) {
       wire::Envelope envelope;
-      *StartForward(from, elsewhere->home, team, text,
-                    wire::CALLER_REQUEST_SUBMIT, wait, now, envelope)
-           .mutable_job() = std::move(job);
+      wire::ForwardRequest& forward =
+          StartForward(from, elsewhere->home, team, text,
+                       wire::CALLER_REQUEST_SUBMIT, wait, now, envelope);
+      *forward.mutable_job() = std::move(job);
+      if (key)
+        state_.forwards.at(forward.request()).key = *key;
       state_.Send(elsewhere->home, std::move(envelope));
       return;
     }
     if (const auto* inherited = std::get_if<Inherited>(&route)) {
-      AnswerEnded(inherited->record, id.sequence, from, text, job.digest());
+      const bool is_void = !inherited->record.seen().Contains(id.sequence);
+      if (is_void && key)
+        Release(from, *key);
+      else
+        AnswerEnded(inherited->record, id.sequence, from, text, job.digest());
       return;
     }
     if (Guards::IsRepeat(state_.record.seen().Contains(id.sequence))) {
@@ -344,7 +399,7 @@
       return;
     }
     if (digest) {
-      Refuse(from, Problem::kIssuerLeft, "Take a new id and submit again.");
+      RefuseVoidId(from);
       return;
     }
     Refuse(from, Problem::kNeverSubmitted, "Submit the job first.");
@@ -358,8 +413,7 @@
               Duration wait,
               Time now) {
     if (state_.is_leaving()) {
-      Refuse(from, Problem::kIssuerLeft,
-             "This VM is leaving. Take a new id and submit again.");
+      RefuseVoidId(from);
       return;
     }
     if (const auto refusal = CheckJob(state_, team, spec)) {
--- a/Libraries/LibDispatch/dispatch_state.cc
+++ b/Libraries/LibDispatch/dispatch_state.cc
@@ -43,6 +43,7 @@
   forwarded->set_status(reply.status);
   forwarded->set_body(std::move(reply.body));
   forwarded->set_retry_after_ms(reply.retry_after_ms);
+  forwarded->set_is_id_void(reply.is_id_void);
   Send(*requester.peer, std::move(envelope));
 }
 
@@ -170,8 +171,9 @@
             "The home of the job was paused beyond its lease.", now);
   }
   membership.ReplaceIncarnation(std::max(incarnation() + 1, least), now);
+  // Sequence numbers go on: timers and queue entries of the jobs that ended
+  // still name theirs.
   record = IncarnationRecord(membership.self());
-  next_sequence = 1;
   actions.emplace_back(PublishIdentity{.identity = membership.self()});
 }
 
--- a/Libraries/LibDispatch/dispatch_state.h
+++ b/Libraries/LibDispatch/dispatch_state.h
@@ -68,6 +68,7 @@
   Requester from;
   Endpoint peer;
   std::string job_id;
+  std::optional<KeyBinding> key;  // that led to the job
 };
 
 enum class Phase { kJoining, kServing, kDraining, kHandingOver, kLeft };
@@ -103,7 +104,7 @@
   JobTable jobs;
   std::uint64_t next_sequence = 1;
   IncarnationRecord record;
-  std::map<std::uint64_t, IncarnationRecord> inherited;
+  std::map<HomeId, IncarnationRecord> inherited;
   std::unordered_map<AttemptId, InFlightAttempt, AttemptIdHash> in_flight;
   std::size_t queued_tasks = 0;
 
@@ -117,6 +118,7 @@
   std::vector<Action> actions;
 
   std::uint64_t incarnation() const { return membership.self().incarnation(); }
+  HomeId home_id() const { return Membership::HomeIdOf(membership.self()); }
   Endpoint endpoint() const {
     return Membership::EndpointOf(membership.self());
   }
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -225,7 +225,7 @@
         state_.UpdateShare(i, now);
     }
     state_.record.Expire(state_.answer_limits(), now);
-    for (auto& [incarnation, record] : state_.inherited)
+    for (auto& [home, record] : state_.inherited)
       record.Expire(state_.answer_limits(), now);
   }
 
--- a/Libraries/LibDispatch/events.h
+++ b/Libraries/LibDispatch/events.h
@@ -11,6 +11,7 @@
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 #include "LibCore/enum_names.h"
+#include "LibCore/job_id.h"
 #include "LibWire/peer.pb.h"
 
 namespace mustardbank {
@@ -31,11 +32,13 @@
   unsigned status = 200;
   std::string body;
   std::uint32_t retry_after_ms = 0;  // 0: no time to come back
+  // The job id was never used, and never will be: its issuer has left.
+  bool is_id_void = false;
 };
 
 // Names one attempt of one task, and is echoed by the backend server.
 struct AttemptId {
-  std::uint64_t incarnation = 0;
+  HomeId home;
   std::uint64_t sequence = 0;
   std::uint32_t task = 0;
   std::uint32_t attempt = 0;
@@ -127,7 +130,8 @@
 struct KeyBinding {
   std::string team;
   std::string key;
-  std::string job_id;  // proposed in the action, bound in the event
+  std::string job_id;             // proposed in the action, bound in the event
+  std::uint64_t row_version = 0;  // of the bound key, in the event
 };
 
 struct KeysBound {
@@ -180,6 +184,11 @@
   std::vector<KeyBinding> bindings;
 };
 
+// Frees a key that is bound to a void job id, if its row is still the same.
+struct ReleaseKey {
+  KeyBinding binding;
+};
+
 // Writes the identity of this VM, and successions, to the platform.
 struct PublishIdentity {
   wire::VmIdentity identity;
@@ -196,6 +205,7 @@
                             StartTask,
                             SendToPeer,
                             BindKeys,
+                            ReleaseKey,
                             PublishIdentity,
                             PublishSuccession,
                             LeaveFinished>;
--- a/Libraries/LibDispatch/key_binder.cc
+++ b/Libraries/LibDispatch/key_binder.cc
@@ -29,15 +29,18 @@
   std::vector<Bound> settled;
   if (result.batch != batch_ || in_flight_.empty())
     return settled;
-  std::map<Key, std::string> ids;
+  std::map<Key, KeyBinding> bindings;
   if (result.succeeded) {
     for (const KeyBinding& binding : result.bindings)
-      ids[{binding.team, binding.key}] = binding.job_id;
+      bindings[{binding.team, binding.key}] = binding;
   }
   for (const Key& key : in_flight_) {
     auto entry = pending_.extract(key);
-    settled.push_back(
-        Bound{.job_id = ids[key], .jobs = std::move(entry.mapped().jobs)});
+    Bound bound{.jobs = std::move(entry.mapped().jobs)};
+    const auto binding = bindings.find(key);
+    if (binding != bindings.end())
+      bound.binding = binding->second;
+    settled.push_back(std::move(bound));
   }
   in_flight_.clear();
   return settled;
--- a/Libraries/LibDispatch/key_binder.h
+++ b/Libraries/LibDispatch/key_binder.h
@@ -30,7 +30,7 @@
   std::optional<BindKeys> NextBatch();
 
   struct Bound {
-    std::string job_id;  // empty: not bound
+    std::optional<KeyBinding> binding;  // nothing: not bound
     std::vector<SubmitJob> jobs;
   };
   // Takes the submissions whose keys the transaction has settled.
--- a/Libraries/LibDispatch/membership.cc
+++ b/Libraries/LibDispatch/membership.cc
@@ -16,6 +16,11 @@
                   .port = static_cast<std::uint16_t>(identity.port())};
 }
 
+HomeId Membership::HomeIdOf(const wire::VmIdentity& identity) {
+  return HomeId{.endpoint = EndpointOf(identity),
+                .incarnation = identity.incarnation()};
+}
+
 void Membership::ReplaceIncarnation(std::uint64_t incarnation, Time now) {
   self_.set_incarnation(incarnation);
   self_since_ = now;
@@ -95,27 +100,37 @@
 }
 
 void Membership::AddSuccession(const wire::Succession& succession) {
-  successors_[succession.incarnation()] =
+  const HomeId home{
+      .endpoint = {.ip = succession.home_ip(),
+                   .port = static_cast<std::uint16_t>(succession.home_port())},
+      .incarnation = succession.incarnation()};
+  successors_[home] =
       Endpoint{.ip = succession.ip(),
                .port = static_cast<std::uint16_t>(succession.port())};
 }
 
-std::optional<Endpoint> Membership::SuccessorOf(
-    std::uint64_t incarnation) const {
-  const auto it = successors_.find(incarnation);
+std::optional<Endpoint> Membership::SuccessorOf(const HomeId& home) const {
+  const auto it = successors_.find(home);
   if (it == successors_.end())
     return std::nullopt;
   return it->second;
 }
 
+wire::Succession Membership::MakeSuccession(const HomeId& home,
+                                            Endpoint successor) {
+  wire::Succession succession;
+  succession.set_incarnation(home.incarnation);
+  succession.set_home_ip(home.endpoint.ip);
+  succession.set_home_port(home.endpoint.port);
+  succession.set_ip(successor.ip);
+  succession.set_port(successor.port);
+  return succession;
+}
+
 std::vector<wire::Succession> Membership::successions() const {
   std::vector<wire::Succession> list;
-  for (const auto& [incarnation, endpoint] : successors_) {
-    wire::Succession& succession = list.emplace_back();
-    succession.set_incarnation(incarnation);
-    succession.set_ip(endpoint.ip);
-    succession.set_port(endpoint.port);
-  }
+  for (const auto& [home, successor] : successors_)
+    list.push_back(MakeSuccession(home, successor));
   return list;
 }
 
@@ -123,24 +138,22 @@
   return peer.was_heard && !peer.leaving && now - peer.last_heard < silence_;
 }
 
-HomeFate Membership::FateOf(Endpoint endpoint,
-                            std::uint64_t incarnation,
-                            Time now) const {
-  if (successors_.contains(incarnation))
+HomeFate Membership::FateOf(const HomeId& home, Time now) const {
+  if (successors_.contains(home))
     return HomeFate::kSucceeded;
-  const auto it = peers_.find(endpoint);
-  const bool is_self = endpoint == EndpointOf(self_);
+  const auto it = peers_.find(home.endpoint);
+  const bool is_self = home.endpoint == EndpointOf(self_);
   const bool is_replaced =
-      is_self ? self_.incarnation() != incarnation
+      is_self ? self_.incarnation() != home.incarnation
               : it != peers_.end() &&
-                    it->second.identity.incarnation() > incarnation;
+                    it->second.identity.incarnation() > home.incarnation;
   if (is_replaced) {
     // News of a succession travels with heartbeats: wait for one to arrive.
     const Time since = is_self ? self_since_ : it->second.incarnation_since;
     const bool is_fresh = now - since < certainty_;
     return is_fresh ? HomeFate::kUncertain : HomeFate::kGone;
   }
-  if (dropped_.contains(endpoint))
+  if (dropped_.contains(home.endpoint))
     return HomeFate::kGone;
   return HomeFate::kReachable;
 }
--- a/Libraries/LibDispatch/membership.h
+++ b/Libraries/LibDispatch/membership.h
@@ -13,6 +13,7 @@
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 #include "LibCore/enum_names.h"
+#include "LibCore/job_id.h"
 #include "LibWire/peer.pb.h"
 
 namespace mustardbank {
@@ -59,11 +60,13 @@
   // Notes entry VMs that the platform has dropped from its list.
   void DidReadEstate(const Estate& estate);
   void AddSuccession(const wire::Succession& succession);
+  static wire::Succession MakeSuccession(const HomeId& home,
+                                         Endpoint successor);
 
   bool IsLive(const Peer& peer, Time now) const;
-  HomeFate FateOf(Endpoint endpoint, std::uint64_t incarnation, Time now) const;
+  HomeFate FateOf(const HomeId& home, Time now) const;
   // The VM that holds the record of an incarnation, if it was handed over.
-  std::optional<Endpoint> SuccessorOf(std::uint64_t incarnation) const;
+  std::optional<Endpoint> SuccessorOf(const HomeId& home) const;
   std::vector<wire::Succession> successions() const;
 
   // The home of a worker: highest rendezvous hash over the live VMs of its
@@ -83,6 +86,7 @@
   const std::map<Endpoint, Peer>& peers() const { return peers_; }
 
   static Endpoint EndpointOf(const wire::VmIdentity& identity);
+  static HomeId HomeIdOf(const wire::VmIdentity& identity);
 
  private:
   void SetIncarnation(Peer& peer, const wire::VmIdentity& identity, Time now);
@@ -91,7 +95,7 @@
   const Duration silence_;
   const Duration certainty_;
   std::map<Endpoint, Peer> peers_;
-  std::map<std::uint64_t, Endpoint> successors_;
+  std::map<HomeId, Endpoint> successors_;
   std::set<Endpoint> listed_;  // entry VMs once seen in the platform's list
   std::set<Endpoint> dropped_;
   std::vector<Endpoint> restarted_;
--- a/Libraries/LibDispatch/problem.cc
+++ b/Libraries/LibDispatch/problem.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<ProblemKind, 23> kKinds{{
+constexpr std::array<ProblemKind, 24> kKinds{{
     {"unauthorized", 401, "The token belongs to no team", true},
     {"forbidden-service", 403, "The team may not use this service", true},
     {"malformed-job", 400, "The job is malformed", true},
@@ -26,6 +26,7 @@
     {"leaving", 503, "This VM is leaving", false},
     {"platform-out", 503, "The platform does not answer", false},
     {"issuer-left", 410, "The VM that issued the id has left", true},
+    {"key-released", 503, "The key is free to be used again", false},
     {"never-submitted", 404, "No job was submitted under this id", false},
     {"answer-expired", 410, "The answer is no longer kept", true},
     {"home-unreachable", 503, "The home of the job does not answer", false},
--- a/Libraries/LibDispatch/problem.h
+++ b/Libraries/LibDispatch/problem.h
@@ -25,6 +25,7 @@
   kLeaving,
   kPlatformOut,
   kIssuerLeft,
+  kKeyReleased,
   kNeverSubmitted,
   kAnswerExpired,
   kHomeUnreachable,
--- a/Libraries/LibDispatch/succession_system.h
+++ b/Libraries/LibDispatch/succession_system.h
@@ -41,20 +41,20 @@
   void Handle(const wire::VmIdentity& sender,
               const wire::HandOver& part,
               Time now) {
-    const std::uint64_t incarnation = part.home().incarnation();
+    const HomeId home = Membership::HomeIdOf(part.home());
     auto [it, is_new] = arriving_.try_emplace(
-        incarnation, Arrival{.record = IncarnationRecord(part.home())});
+        home, Arrival{.record = IncarnationRecord(part.home())});
     Arrival& arrival = it->second;
     if (arrival.parts.insert(part.part()).second)
       arrival.record.Absorb(part, now);
     if (arrival.parts.size() < part.parts() || state_.is_leaving())
       return;
-    state_.inherited.insert_or_assign(incarnation, std::move(arrival.record));
+    state_.inherited.insert_or_assign(home, std::move(arrival.record));
     arriving_.erase(it);
     state_.membership.AddSuccession(
-        SuccessionTo(incarnation, state_.endpoint()));
+        Membership::MakeSuccession(home, state_.endpoint()));
     wire::Envelope envelope = state_.NewEnvelope();
-    envelope.mutable_hand_over_accepted()->set_incarnation(incarnation);
+    *envelope.mutable_hand_over_accepted()->mutable_home() = part.home();
     state_.Send(Membership::EndpointOf(sender), std::move(envelope));
   }
 
@@ -63,7 +63,7 @@
     const Endpoint successor = Membership::EndpointOf(sender);
     if (state_.phase != Phase::kHandingOver || successor != successor_)
       return;
-    waiting_.erase(accepted.incarnation());
+    waiting_.erase(Membership::HomeIdOf(accepted.home()));
   }
 
  private:
@@ -78,15 +78,6 @@
   static constexpr Duration kAnnounceTime = std::chrono::milliseconds(300);
   static constexpr int kMaxSuccessors = 3;
 
-  static wire::Succession SuccessionTo(std::uint64_t incarnation,
-                                       Endpoint successor) {
-    wire::Succession succession;
-    succession.set_incarnation(incarnation);
-    succession.set_ip(successor.ip);
-    succession.set_port(successor.port);
-    return succession;
-  }
-
   std::size_t UnfinishedRequests() const {
     return state_.jobs.size() + state_.forwards.size() + state_.keys.pending();
   }
@@ -109,7 +100,7 @@
     }
     tried_.insert(*successor_);
     SendRecord(state_.record);
-    for (const auto& [incarnation, record] : state_.inherited)
+    for (const auto& [home, record] : state_.inherited)
       SendRecord(record);
   }
 
@@ -130,7 +121,7 @@
   }
 
   void SendRecord(const IncarnationRecord& record) {
-    waiting_.insert(record.home().incarnation());
+    waiting_.insert(Membership::HomeIdOf(record.home()));
     for (wire::HandOver& part : record.ToHandOver()) {
       wire::Envelope envelope = state_.NewEnvelope();
       *envelope.mutable_hand_over() = std::move(part);
@@ -142,7 +133,8 @@
     if (announced_at_)
       return Announce(now);
     if (!successor_) {
-      Finish();
+      if (Guards::MayStop(UnfinishedRequests()))
+        Finish();
       return false;
     }
     if (!waiting_.empty()) {
@@ -151,21 +143,24 @@
       return false;
     }
     announced_at_ = now;
-    const auto publish = [&](std::uint64_t incarnation) {
+    const auto publish = [&](const HomeId& home) {
       const wire::Succession succession =
-          SuccessionTo(incarnation, *successor_);
+          Membership::MakeSuccession(home, *successor_);
       state_.membership.AddSuccession(succession);
       state_.actions.emplace_back(PublishSuccession{.succession = succession});
     };
-    publish(state_.incarnation());
-    for (const auto& [incarnation, record] : state_.inherited)
-      publish(incarnation);
+    publish(state_.home_id());
+    for (const auto& [home, record] : state_.inherited)
+      publish(home);
     return true;
   }
 
   bool Announce(Time now) {
-    if (now - *announced_at_ >= kAnnounceTime)
+    // Requests may have come in the meantime.
+    if (now - *announced_at_ >= kAnnounceTime &&
+        Guards::MayStop(UnfinishedRequests())) {
       Finish();
+    }
     return false;
   }
 
@@ -175,10 +170,10 @@
   }
 
   DispatchState& state_;
-  std::map<std::uint64_t, Arrival> arriving_;  // by incarnation
+  std::map<HomeId, Arrival> arriving_;
   std::optional<Endpoint> successor_;
   std::set<Endpoint> tried_;
-  std::set<std::uint64_t> waiting_;  // incarnations not yet accepted
+  std::set<HomeId> waiting_;  // records not yet accepted
   Time deadline_;
   std::optional<Time> announced_at_;
 };
--- a/Libraries/LibEntry/control_thread.cc
+++ b/Libraries/LibEntry/control_thread.cc
@@ -98,6 +98,7 @@
     sinks_.send_to_peer(action.peer, std::move(action.envelope));
   }
   void Carry(BindKeys& action) { sinks_.bind_keys(std::move(action)); }
+  void Carry(ReleaseKey& action) { sinks_.release_key(std::move(action)); }
   void Carry(PublishIdentity& action) {
     sinks_.publish_identity(std::move(action));
   }
--- a/Libraries/LibEntry/control_thread.h
+++ b/Libraries/LibEntry/control_thread.h
@@ -21,6 +21,7 @@
   std::vector<TrafficThread*> traffic;
   std::function<void(Endpoint, wire::Envelope&&)> send_to_peer;
   std::function<void(BindKeys&&)> bind_keys;
+  std::function<void(ReleaseKey&&)> release_key;
   std::function<void(PublishIdentity&&)> publish_identity;
   std::function<void(PublishSuccession&&)> publish_succession;
   std::function<void()> leave_finished;
--- a/Libraries/LibEntry/entry_process.cc
+++ b/Libraries/LibEntry/entry_process.cc
@@ -28,7 +28,8 @@
 namespace {
 
 constexpr std::size_t kEventQueueCapacity = 100'000;
-constexpr std::chrono::milliseconds kLastResponses{2000};
+constexpr int kLingerPolls = 20;
+constexpr int kMostLingerPolls = 200;
 constexpr std::chrono::milliseconds kPollInterval{10};
 constexpr int kIncarnationRandomBits = 16;
 
@@ -94,11 +95,14 @@
                    [this] { return has_left_; });
     LOG_IF(WARNING, !has_left_) << "drain limit reached with work unfinished";
     lock.unlock();
-    // Replies that the control thread has given may still be on their way.
-    const auto deadline = std::chrono::steady_clock::now() + kLastResponses;
-    while (callers_->requests_in_progress() > 0 &&
-           std::chrono::steady_clock::now() < deadline) {
+    // Replies may still be on their way, and requests that were sent before
+    // the balancer took this VM out may still be unread.
+    // Polls are counted, and not time, so that a pause of the process does not
+    // shorten the wait.
+    int quiet_polls = 0;
+    for (int i = 0; i < kMostLingerPolls && quiet_polls < kLingerPolls; ++i) {
       std::this_thread::sleep_for(kPollInterval);
+      quiet_polls = callers_->requests_in_progress() > 0 ? 0 : quiet_polls + 1;
     }
   }
 
@@ -122,6 +126,9 @@
     sinks.bind_keys = [this](BindKeys&& keys) {
       platform_.Bind(std::move(keys));
     };
+    sinks.release_key = [this](ReleaseKey&& key) {
+      platform_.Release(std::move(key));
+    };
     sinks.publish_identity = [this](PublishIdentity&& action) {
       peers_.SetIncarnation(action.identity.incarnation());
       platform_.Publish(std::move(action));
--- a/Libraries/LibEntry/platform_loop.cc
+++ b/Libraries/LibEntry/platform_loop.cc
@@ -3,9 +3,9 @@
 #include <glog/logging.h>
 
 #include <boost/leaf/handle_errors.hpp>
-#include <charconv>
 #include <type_traits>
 
+#include "LibDispatch/membership.h"
 #include "LibPlatform/tables.h"
 
 namespace leaf = boost::leaf;
@@ -36,12 +36,6 @@
       [] { return std::optional<Value>(); });
 }
 
-std::uint64_t ParseNumber(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 }  // namespace
 
 PlatformLoop::PlatformLoop(const Settings& settings,
@@ -137,13 +131,11 @@
   if (successions && *successions) {
     succession_table_version_ = (*successions)->version;
     for (const Row& row : (*successions)->rows) {
-      const auto endpoint = Endpoint::Parse(row.value);
-      if (!endpoint)
-        continue;
-      wire::Succession& succession = event.successions.emplace_back();
-      succession.set_incarnation(ParseNumber(row.key));
-      succession.set_ip(endpoint->ip);
-      succession.set_port(endpoint->port);
+      const auto home = ParseHomeKey(row.key);
+      const auto successor = Endpoint::Parse(row.value);
+      if (home && successor)
+        event.successions.push_back(
+            Membership::MakeSuccession(*home, *successor));
     }
   }
   if (!event.vms.empty() || !event.successions.empty())
@@ -174,8 +166,10 @@
     const auto rows = OrNothing([&] { return client_.Transact(writes); });
     if (!rows || rows->size() != bound.bindings.size())
       continue;
-    for (std::size_t k = 0; k < rows->size(); ++k)
+    for (std::size_t k = 0; k < rows->size(); ++k) {
       bound.bindings[k].job_id = (*rows)[k].value;
+      bound.bindings[k].row_version = (*rows)[k].version;
+    }
     bound.succeeded = true;
   }
   events_.Push(std::move(bound));
@@ -187,6 +181,19 @@
   });
 }
 
+void PlatformLoop::Release(ReleaseKey&& key) {
+  const KeyBinding& binding = key.binding;
+  thread_.Post([this, write = Write{.kind = WriteKind::kDelete,
+                                    .table = std::string(kKeyTable),
+                                    .key = KeyRowKey(binding.team, binding.key),
+                                    .expected_version = binding.row_version}] {
+    // A failure leaves the key bound; the caller's next try releases it.
+    fibers_.Run([this, write] {
+      OrNothing([&] { return client_.Transact({write}); });
+    });
+  });
+}
+
 void PlatformLoop::Publish(PublishIdentity&& action) {
   const wire::VmIdentity& identity = action.identity;
   const EntryVmRow row{.name = identity.name(),
@@ -208,10 +215,14 @@
   const Endpoint endpoint{
       .ip = succession.ip(),
       .port = static_cast<std::uint16_t>(succession.port())};
+  const HomeId home{
+      .endpoint = {.ip = succession.home_ip(),
+                   .port = static_cast<std::uint16_t>(succession.home_port())},
+      .incarnation = succession.incarnation()};
   thread_.Post(
       [this, write = Write{.kind = WriteKind::kPut,
                            .table = std::string(kSuccessionTable),
-                           .key = std::to_string(succession.incarnation()),
+                           .key = HomeKey(home),
                            .value = endpoint.ToString(),
                            .ttl_ms = settings_.limits.answer_kept_ms}] {
         pending_.push_back(write);
--- a/Libraries/LibEntry/platform_loop.h
+++ b/Libraries/LibEntry/platform_loop.h
@@ -29,6 +29,7 @@
 
   // From any thread.
   void Bind(BindKeys&& keys);
+  void Release(ReleaseKey&& key);
   void Publish(PublishIdentity&& identity);
   void Publish(PublishSuccession&& succession);
 
--- a/Libraries/LibEntry/worker_client.cc
+++ b/Libraries/LibEntry/worker_client.cc
@@ -21,14 +21,20 @@
 constexpr std::size_t kMaxIdle = 12;
 
 std::string FormatAttempt(const AttemptId& id) {
-  return std::to_string(id.incarnation) + '.' + std::to_string(id.sequence) +
-         '.' + std::to_string(id.task) + '.' + std::to_string(id.attempt);
+  return id.home.endpoint.ToString() + '/' +
+         std::to_string(id.home.incarnation) + '.' +
+         std::to_string(id.sequence) + '.' + std::to_string(id.task) + '.' +
+         std::to_string(id.attempt);
 }
 
 // Yields an id that matches none if the text is malformed.
 AttemptId ParseAttempt(std::string_view text) {
+  const std::size_t slash = text.find('/');
+  if (slash == std::string_view::npos)
+    return {};
+  const auto endpoint = Endpoint::Parse(text.substr(0, slash));
   std::array<std::uint64_t, 4> fields{};
-  const char* next = text.data();
+  const char* next = text.data() + slash + 1;
   const char* const end = text.data() + text.size();
   for (std::uint64_t& field : fields) {
     const auto [rest, error] = std::from_chars(next, end, field);
@@ -36,7 +42,8 @@
       return {};
     next = rest == end ? rest : rest + 1;
   }
-  return AttemptId{.incarnation = fields[0],
+  return AttemptId{.home = {.endpoint = endpoint.value_or(Endpoint{}),
+                            .incarnation = fields[0]},
                    .sequence = fields[1],
                    .task = static_cast<std::uint32_t>(fields[2]),
                    .attempt = static_cast<std::uint32_t>(fields[3])};
--- a/Libraries/LibLoad/load_generator.cc
+++ b/Libraries/LibLoad/load_generator.cc
@@ -108,7 +108,8 @@
         // The mean of a lognormal is exp(mu + sigma^2 / 2).
         const double mu =
             std::log(request.mean_ms) - request.sigma * request.sigma / 2;
-        run_ms = std::lognormal_distribution<double>(mu, request.sigma)(random_);
+        run_ms =
+            std::lognormal_distribution<double>(mu, request.sigma)(random_);
         break;
       }
     }
@@ -135,7 +136,9 @@
 class CallerThread {
  public:
   CallerThread(const LoadPlan& plan, RunState& state)
-      : plan_(plan), state_(state), connections_(plan.entries.size()),
+      : plan_(plan),
+        state_(state),
+        connections_(plan.entries.size()),
         ids_(plan.entries.size()) {}
 
   void Send(DrawnJob job) {
@@ -189,10 +192,10 @@
     if (ids.empty()) {
       const auto response = Exchange(
           entry,
-          HttpRequest{.method = "POST",
-                      .target = "/v1/job-ids",
-                      .body = json::serialize(
-                          json::object{{"count", kIdsAtOnce}})},
+          HttpRequest{
+              .method = "POST",
+              .target = "/v1/job-ids",
+              .body = json::serialize(json::object{{"count", kIdsAtOnce}})},
           std::chrono::milliseconds(1000));
       if (!response || response->status != 200)
         return "";
@@ -303,10 +306,9 @@
         return outcome;
       }
       if (response->status != 503 && response->status != 202) {
-        outcome.ending =
-            outcome.problem == "urn:mustardbank:problem:cancelled"
-                ? Ending::kCancelled
-                : Ending::kFailed;
+        outcome.ending = outcome.problem == "urn:mustardbank:problem:cancelled"
+                             ? Ending::kCancelled
+                             : Ending::kFailed;
         return outcome;
       }
       if (response->status == 503)
@@ -334,25 +336,22 @@
     const std::string id = TakeId(job.entry);
     if (id.empty())
       return outcome;
-    Exchange(job.entry,
-             HttpRequest{.method = "POST",
-                         .target = "/v1/jobs/" + id,
-                         .body = job.body},
-             std::chrono::milliseconds(2000));
+    Exchange(
+        job.entry,
+        HttpRequest{
+            .method = "POST", .target = "/v1/jobs/" + id, .body = job.body},
+        std::chrono::milliseconds(2000));
     SleepFiber(std::chrono::milliseconds(
         static_cast<std::int64_t>(job.longest_ms / 2)));
     const auto response = Exchange(
-        job.entry,
-        HttpRequest{.method = "DELETE", .target = "/v1/jobs/" + id},
+        job.entry, HttpRequest{.method = "DELETE", .target = "/v1/jobs/" + id},
         std::chrono::milliseconds(2000));
     if (response)
       outcome.ending = Ending::kCancelled;
     return outcome;
   }
 
-  void Record(const DrawnJob& job,
-              const Outcome& outcome,
-              double response_ms) {
+  void Record(const DrawnJob& job, const Outcome& outcome, double response_ms) {
     if (!job.is_measured)
       return;
     const std::lock_guard lock(state_.mutex);
@@ -366,8 +365,7 @@
     switch (outcome.ending) {
       case Ending::kComplete: {
         ++report.complete;
-        const double ideal_ms =
-            job.longest_ms + 2 * plan_.client_latency_ms;
+        const double ideal_ms = job.longest_ms + 2 * plan_.client_latency_ms;
         report.response_over_ideal.Add(response_ms / std::max(0.1, ideal_ms));
         report.response_ms.Add(response_ms);
         break;
@@ -404,8 +402,8 @@
   // Threads of fibers outlive the run, and with them what they use.
   const auto kept_plan = std::make_shared<const LoadPlan>(plan);
   const auto state = std::make_shared<RunState>();
-  static std::vector<std::pair<std::shared_ptr<const LoadPlan>,
-                               std::shared_ptr<RunState>>>
+  static std::vector<
+      std::pair<std::shared_ptr<const LoadPlan>, std::shared_ptr<RunState>>>
       kept;
   kept.emplace_back(kept_plan, state);
   static std::vector<std::unique_ptr<CallerThread>> kept_threads;
--- a/Libraries/LibLoad/load_generator.h
+++ b/Libraries/LibLoad/load_generator.h
@@ -18,8 +18,8 @@
 
 // Runs the plan and waits for the end of every job. `did_progress` is called
 // about once a second.
-LoadReport RunLoad(const LoadPlan& plan,
-                   const std::function<void(const LoadProgress&)>&
-                       did_progress = nullptr);
+LoadReport RunLoad(
+    const LoadPlan& plan,
+    const std::function<void(const LoadProgress&)>& did_progress = nullptr);
 
 }  // namespace mustardbank
--- a/Libraries/LibLoad/load_plan.cc
+++ b/Libraries/LibLoad/load_plan.cc
@@ -72,8 +72,8 @@
   plan.warmup_s = reader.OptionalNumber("warmup_s", plan.warmup_s, 0, 3600);
   plan.deadline_s =
       reader.OptionalNumber("deadline_s", plan.deadline_s, 0.1, 3600);
-  plan.client_latency_ms =
-      reader.OptionalNumber("client_latency_ms", plan.client_latency_ms, 0, 1e4);
+  plan.client_latency_ms = reader.OptionalNumber(
+      "client_latency_ms", plan.client_latency_ms, 0, 1e4);
   plan.cancel_fraction =
       reader.OptionalNumber("cancel_fraction", plan.cancel_fraction, 0, 1);
   plan.threads = reader.OptionalInteger("threads", plan.threads, 1, 64);
@@ -82,8 +82,8 @@
   });
   reader.ForEachObject("job_sizes", [&](JsonObjectReader& size) {
     plan.job_sizes.push_back(
-        {.tasks = static_cast<std::uint32_t>(
-             size.RequiredInteger("tasks", 1, 250)),
+        {.tasks =
+             static_cast<std::uint32_t>(size.RequiredInteger("tasks", 1, 250)),
          .weight = size.OptionalNumber("weight", 1, 0, 1e9)});
   });
   if (plan.mix.empty())
--- a/Libraries/LibLoad/load_plan.h
+++ b/Libraries/LibLoad/load_plan.h
@@ -41,8 +41,8 @@
   std::uint64_t seed = 1;
   double jobs_per_second = 10;
   double duration_s = 10;
-  double warmup_s = 0;     // arrivals before this are not measured
-  double deadline_s = 30;  // from the intended send time to the last try
+  double warmup_s = 0;           // arrivals before this are not measured
+  double deadline_s = 30;        // from the intended send time to the last try
   double client_latency_ms = 0;  // one way
   double cancel_fraction = 0;
   std::uint32_t threads = 1;
--- a/Libraries/LibPlatform/tables.cc
+++ b/Libraries/LibPlatform/tables.cc
@@ -3,6 +3,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 
 #include "LibCore/digest.h"
 
@@ -35,6 +36,26 @@
       .incarnation = static_cast<std::uint64_t>(incarnation->get_int64())};
 }
 
+std::string HomeKey(const HomeId& home) {
+  return home.endpoint.ToString() + '/' + std::to_string(home.incarnation);
+}
+
+std::optional<HomeId> ParseHomeKey(std::string_view text) {
+  const std::size_t slash = text.find('/');
+  if (slash == std::string_view::npos)
+    return std::nullopt;
+  const auto endpoint = Endpoint::Parse(text.substr(0, slash));
+  if (!endpoint)
+    return std::nullopt;
+  HomeId home{.endpoint = *endpoint};
+  const std::string_view number = text.substr(slash + 1);
+  const auto [end, error] = std::from_chars(
+      number.data(), number.data() + number.size(), home.incarnation);
+  if (error != std::errc() || end != number.data() + number.size())
+    return std::nullopt;
+  return home;
+}
+
 std::string KeyRowKey(std::string_view team, std::string_view key) {
   return Sha256Hex(std::string(team) + '\n' + std::string(key));
 }
--- a/Libraries/LibPlatform/tables.h
+++ b/Libraries/LibPlatform/tables.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "LibCore/endpoint.h"
+#include "LibCore/job_id.h"
 
 namespace mustardbank {
 
@@ -25,6 +25,10 @@
   static std::optional<EntryVmRow> Parse(std::string_view text);
 };
 
+// The row key of one life of an entry VM, as "address/incarnation".
+std::string HomeKey(const HomeId& home);
+std::optional<HomeId> ParseHomeKey(std::string_view text);
+
 // The row key of a caller's idempotency key.
 std::string KeyRowKey(std::string_view team, std::string_view key);
 
--- a/Services/Mustardbank/load_command.cc
+++ b/Services/Mustardbank/load_command.cc
@@ -24,9 +24,8 @@
   const bool is_quiet = arguments.at("--quiet").asBool();
   const LoadReport report = RunLoad(plan, [&](const LoadProgress& progress) {
     if (!is_quiet) {
-      std::cerr << static_cast<int>(progress.seconds) << " s: "
-                << progress.sent << " jobs sent, " << progress.ended
-                << " ended\n";
+      std::cerr << static_cast<int>(progress.seconds) << " s: " << progress.sent
+                << " jobs sent, " << progress.ended << " ended\n";
     }
   });
   const std::string text = boost::json::serialize(report.ToJson());
--- a/Services/Mustardbank/questionnaire_command.cc
+++ b/Services/Mustardbank/questionnaire_command.cc
@@ -85,9 +85,8 @@
       AskYesNo("May a task that failed start again elsewhere?");
   service["requests"] = AskRequests();
   return json::serialize(json::object{
-      {"teams",
-       json::array{json::object{
-           {"name", team}, {"token", token}, {"slots", slots}}}},
+      {"teams", json::array{json::object{
+                    {"name", team}, {"token", token}, {"slots", slots}}}},
       {"services", json::array{std::move(service)}}});
 }
 
