--- a/Libraries/LibEntry/entry_process.cc
+++ b/Libraries/LibEntry/entry_process.cc
@@ -6,7 +6,6 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <condition_variable>
-#include <future>
 #include <mutex>
 #include <random>
 #include <vector>
@@ -18,6 +17,7 @@
 #include "LibEntry/platform_loop.h"
 #include "LibEntry/traffic_thread.h"
 #include "LibFiber/fiber_thread.h"
+#include "LibFiber/run_in_fiber.h"
 #include "LibHttp/http_server.h"
 #include "LibPeer/peer_link.h"
 
@@ -109,11 +109,10 @@
  private:
   // Newer than any incarnation registered at this address.
   std::uint64_t ChooseIncarnation(Endpoint endpoint) {
-    std::promise<std::uint64_t> registered;
-    service_thread_.Spawn([&] {
-      registered.set_value(platform_.RegisteredIncarnation(endpoint));
+    const std::uint64_t registered = RunInFiber(service_thread_, [&] {
+      return platform_.RegisteredIncarnation(endpoint);
     });
-    return std::max(NewIncarnation(), registered.get_future().get() + 1);
+    return std::max(NewIncarnation(), registered + 1);
   }
 
   void StartControl(const wire::VmIdentity& identity) {
--- a/Libraries/LibEntry/platform_loop.cc
+++ b/Libraries/LibEntry/platform_loop.cc
@@ -3,7 +3,6 @@
 #include <glog/logging.h>
 
 #include <boost/leaf/handle_errors.hpp>
-#include <type_traits>
 
 #include "LibDispatch/membership.h"
 #include "LibPlatform/tables.h"
@@ -19,21 +18,14 @@
 constexpr std::uint64_t kEntryVmKeptMs = 24ULL * 3600 * 1000;
 constexpr int kBindTries = 2;
 
-// Runs `function` and turns every platform error into its value for none.
-template <typename Function>
-auto OrNothing(Function&& function) {
-  using Value = std::remove_cvref_t<decltype(function().value())>;
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::optional<Value>> {
-        BOOST_LEAF_AUTO(value, function());
-        return std::optional<Value>(std::move(value));
-      },
-      [](const PlatformError& error) -> std::optional<Value> {
-        VLOG(1) << "platform: " << kPlatformFailureNames[error.failure] << ": "
-                << error.reason;
-        return std::nullopt;
-      },
-      [] { return std::optional<Value>(); });
+// The value of a call to the platform, or nothing if it failed.
+template <typename T>
+std::optional<T> ValueOrNothing(PlatformResult<T>&& result) {
+  if (result)
+    return std::move(*result);
+  VLOG(1) << "platform: " << kPlatformFailureNames[result.error().failure]
+          << ": " << result.error().reason;
+  return std::nullopt;
 }
 
 }  // namespace
@@ -47,8 +39,8 @@
       client_(thread.io(), settings.platform, settings.data_center) {}
 
 std::uint64_t PlatformLoop::RegisteredIncarnation(Endpoint endpoint) {
-  const auto row = OrNothing(
-      [&] { return client_.ReadRow(kEntryVmTable, endpoint.ToString()); });
+  const auto row =
+      ValueOrNothing(client_.ReadRow(kEntryVmTable, endpoint.ToString()));
   if (!row || !*row)
     return 0;
   const auto entry = EntryVmRow::Parse((*row)->value);
@@ -75,10 +67,8 @@
 }
 
 void PlatformLoop::PollConfiguration() {
-  const auto row = OrNothing([&] {
-    return client_.ReadRow(kConfigurationTable, kConfigurationKey,
-                           configuration_row_);
-  });
+  const auto row = ValueOrNothing(client_.ReadRow(
+      kConfigurationTable, kConfigurationKey, configuration_row_));
   if (!row || !*row || (*row)->version == 0)
     return;
   const Row& read = **row;
@@ -99,7 +89,7 @@
 }
 
 void PlatformLoop::PollEstate() {
-  auto estate = OrNothing([&] { return client_.ReadEstate(estate_version_); });
+  auto estate = ValueOrNothing(client_.ReadEstate(estate_version_));
   if (!estate || !*estate)
     return;
   estate_version_ = (*estate)->version;
@@ -108,8 +98,8 @@
 
 void PlatformLoop::PollRegistrations() {
   RegistrationsRead event;
-  const auto vms = OrNothing(
-      [&] { return client_.ReadTable(kEntryVmTable, vm_table_version_); });
+  const auto vms =
+      ValueOrNothing(client_.ReadTable(kEntryVmTable, vm_table_version_));
   if (vms && *vms) {
     vm_table_version_ = (*vms)->version;
     for (const Row& row : (*vms)->rows) {
@@ -125,9 +115,8 @@
       identity.set_incarnation(entry->incarnation);
     }
   }
-  const auto successions = OrNothing([&] {
-    return client_.ReadTable(kSuccessionTable, succession_table_version_);
-  });
+  const auto successions = ValueOrNothing(
+      client_.ReadTable(kSuccessionTable, succession_table_version_));
   if (successions && *successions) {
     succession_table_version_ = (*successions)->version;
     for (const Row& row : (*successions)->rows) {
@@ -143,11 +132,15 @@
 }
 
 void PlatformLoop::WritePending() {
-  while (!pending_.empty()) {
-    if (!OrNothing([&] { return client_.Transact({pending_.front()}); }))
-      return;
+  // Several fibers come here; the writes go out one after the other.
+  if (is_writing_)
+    return;
+  is_writing_ = true;
+  while (!pending_.empty() &&
+         ValueOrNothing(client_.Transact({pending_.front()}))) {
     pending_.pop_front();
   }
+  is_writing_ = false;
 }
 
 void PlatformLoop::RunBind(const BindKeys& keys) {
@@ -163,7 +156,7 @@
   // A write whose answer was lost may have taken effect: the same write again
   // yields what is bound.
   for (int i = 0; i < kBindTries && !bound.succeeded; ++i) {
-    const auto rows = OrNothing([&] { return client_.Transact(writes); });
+    const auto rows = ValueOrNothing(client_.Transact(writes));
     if (!rows || rows->size() != bound.bindings.size())
       continue;
     for (std::size_t k = 0; k < rows->size(); ++k) {
@@ -188,9 +181,7 @@
                                     .key = KeyRowKey(binding.team, binding.key),
                                     .expected_version = binding.row_version}] {
     // A failure leaves the key bound; the caller's next try releases it.
-    fibers_.Run([this, write] {
-      OrNothing([&] { return client_.Transact({write}); });
-    });
+    fibers_.Run([this, write] { ValueOrNothing(client_.Transact({write})); });
   });
 }
 
--- a/Libraries/LibEntry/platform_loop.h
+++ b/Libraries/LibEntry/platform_loop.h
@@ -53,6 +53,7 @@
   std::uint64_t vm_table_version_ = 0;
   std::uint64_t succession_table_version_ = 0;
   std::deque<Write> pending_;  // writes that must still reach the platform
+  bool is_writing_ = false;
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibEntry/worker_client.h
+++ b/Libraries/LibEntry/worker_client.h
@@ -34,9 +34,8 @@
   };
 
   AttemptEnded Run(const StartTask& task);
-  boost::leaf::result<AttemptEnded> Exchange(const StartTask& task);
-  boost::leaf::result<std::unique_ptr<HttpConnection>> Acquire(
-      const StartTask& task);
+  HttpResult<AttemptEnded> Exchange(const StartTask& task);
+  HttpResult<std::unique_ptr<HttpConnection>> Acquire(const StartTask& task);
   Pool& PoolOf(const StartTask& task);
 
   boost::asio::io_context& io_;
--- a/Libraries/LibFiber/fiber_thread.cc
+++ b/Libraries/LibFiber/fiber_thread.cc
@@ -16,16 +16,15 @@
 }  // namespace
 
 FiberThread::FiberThread()
-    : work_(boost::asio::make_work_guard(io_)), thread_([this] { Run(); }) {}
+    : loop_(std::make_shared<Loop>()),
+      thread_([loop = loop_] { Run(*loop); }) {}
 
-// Fibers that still wait for a peer can't be ended from outside; the process
-// ends its threads by leaving.
 FiberThread::~FiberThread() {
   thread_.detach();
 }
 
-void FiberThread::Run() {
-  boost::fibers::use_scheduling_algorithm<AsioScheduler>(io_);
+void FiberThread::Run(Loop& loop) {
+  boost::fibers::use_scheduling_algorithm<AsioScheduler>(loop.io);
   FiberSignal never;
   never.Wait();
 }
--- a/Libraries/LibFiber/fiber_thread.h
+++ b/Libraries/LibFiber/fiber_thread.h
@@ -1,4 +1,6 @@
-// A thread that runs fibers over one io_context.
+// A thread that runs fibers over one io_context. Fibers that wait can't be
+// ended from outside: the thread goes on, idle, once its object is gone, and
+// ends with the process.
 #pragma once
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -8,6 +10,7 @@
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <thread>
 
 namespace mustardbank {
@@ -19,7 +22,7 @@
   FiberThread(const FiberThread&) = delete;
   FiberThread& operator=(const FiberThread&) = delete;
 
-  boost::asio::io_context& io() { return io_; }
+  boost::asio::io_context& io() { return loop_->io; }
   // Whether the caller runs on this thread.
   bool IsCurrent() const {
     return thread_.get_id() == std::this_thread::get_id();
@@ -28,7 +31,7 @@
   // Runs `function` on the thread as a handler, which must not wait.
   template <typename Function>
   void Post(Function&& function) {
-    boost::asio::post(io_, std::forward<Function>(function));
+    boost::asio::post(loop_->io, std::forward<Function>(function));
   }
 
   // Starts a fiber on the thread; callable from any thread.
@@ -38,11 +41,16 @@
   static void SpawnHere(std::function<void()> function);
 
  private:
-  void Run();
+  // Shared with the thread, which outlives this object.
+  struct Loop {
+    boost::asio::io_context io{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work{boost::asio::make_work_guard(io)};
+  };
 
-  boost::asio::io_context io_{1};
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      work_;
+  static void Run(Loop& loop);
+
+  std::shared_ptr<Loop> loop_;
   std::thread thread_;
 };
 
--- a/Libraries/LibFiber/run_in_fiber.h
+++ b/Libraries/LibFiber/run_in_fiber.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <future>
+#include <memory>
 #include <type_traits>
 #include <utility>
 
@@ -12,9 +13,11 @@
 template <typename Function>
 auto RunInFiber(FiberThread& thread, Function function) {
   using Value = std::invoke_result_t<Function>;
-  std::promise<Value> promise;
-  thread.Spawn([&] { promise.set_value(function()); });
-  return promise.get_future().get();
+  // Shared, since the fiber still holds the promise when the value arrives.
+  const auto promise = std::make_shared<std::promise<Value>>();
+  std::future<Value> value = promise->get_future();
+  thread.Spawn([promise, &function] { promise->set_value(function()); });
+  return value.get();
 }
 
 }  // namespace mustardbank
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -1,7 +1,7 @@
 // One HTTP/1.1 client connection, used by one fiber at a time.
 #pragma once
 
-#include <boost/leaf/result.hpp>
+#include <boost/system/result.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -27,19 +27,23 @@
   std::string reason;
 };
 
+// The result of a call that suspends its fiber. LEAF keeps the handlers of a
+// thread in the order of one stack, which fibers that switch do not follow.
+template <typename T>
+using HttpResult = boost::system::result<T, HttpError>;
+
 class HttpConnection {
  public:
   explicit HttpConnection(boost::asio::io_context& io);
   ~HttpConnection();
 
-  // Opens the connection; fails with HttpError.
-  boost::leaf::result<void> Connect(Endpoint endpoint,
-                                    std::chrono::milliseconds timeout);
+  HttpResult<void> Connect(Endpoint endpoint,
+                           std::chrono::milliseconds timeout);
 
-  // Sends a request and waits for its response; fails with HttpError. After
+  // Sends a request and waits for its response. After
   // a failure the connection is closed and must not be used again.
-  boost::leaf::result<HttpResponse> Exchange(const HttpRequest& request,
-                                             std::chrono::milliseconds timeout);
+  HttpResult<HttpResponse> Exchange(const HttpRequest& request,
+                                    std::chrono::milliseconds timeout);
 
   // Whether the server still keeps the idle connection open.
   bool IsReusable();
@@ -50,11 +54,10 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// Connects, exchanges one request and closes; fails with HttpError.
-boost::leaf::result<HttpResponse> ExchangeOnce(
-    boost::asio::io_context& io,
-    Endpoint endpoint,
-    const HttpRequest& request,
-    std::chrono::milliseconds timeout);
+// Connects, exchanges one request and closes.
+HttpResult<HttpResponse> ExchangeOnce(boost::asio::io_context& io,
+                                      Endpoint endpoint,
+                                      const HttpRequest& request,
+                                      std::chrono::milliseconds timeout);
 
 }  // namespace mustardbank
--- a/Libraries/LibPlatform/platform_client.cc
+++ b/Libraries/LibPlatform/platform_client.cc
@@ -19,12 +19,12 @@
 
 constexpr std::chrono::milliseconds kCallTimeout{1500};
 
-leaf::error_id Malformed(std::string reason) {
-  return leaf::new_error(PlatformError{.failure = PlatformFailure::kMalformed,
-                                       .reason = std::move(reason)});
+PlatformError Malformed(std::string reason) {
+  return PlatformError{.failure = PlatformFailure::kMalformed,
+                       .reason = std::move(reason)};
 }
 
-leaf::result<json::object> ParseObject(const std::string& text) {
+PlatformResult<json::object> ParseObject(const std::string& text) {
   json::error_code error;
   json::value value = json::parse(text, error);
   if (error || !value.is_object())
@@ -32,7 +32,7 @@
   return std::move(value.get_object());
 }
 
-leaf::result<Row> ParseRow(const json::value& value) {
+PlatformResult<Row> ParseRow(const json::value& value) {
   const json::object* object = value.if_object();
   const json::value* key = object ? object->if_contains("key") : nullptr;
   const json::value* version =
@@ -47,15 +47,17 @@
              .value = std::string(text->get_string())};
 }
 
-leaf::result<std::vector<Row>> ParseRows(const json::object& object,
-                                         std::string_view member) {
+PlatformResult<std::vector<Row>> ParseRows(const json::object& object,
+                                           std::string_view member) {
   const json::value* list = object.if_contains(member);
   if (!list || !list->is_array())
     return Malformed("the answer lacks its list of rows");
   std::vector<Row> rows;
   for (const json::value& value : list->get_array()) {
-    BOOST_LEAF_AUTO(row, ParseRow(value));
-    rows.push_back(std::move(row));
+    auto row = ParseRow(value);
+    if (!row)
+      return row.error();
+    rows.push_back(std::move(*row));
   }
   return rows;
 }
@@ -85,7 +87,7 @@
                                std::string data_center)
     : io_(io), endpoint_(endpoint), data_center_(std::move(data_center)) {}
 
-leaf::result<PlatformClient::Answer> PlatformClient::Call(
+PlatformResult<PlatformClient::Answer> PlatformClient::Call(
     std::string method,
     std::string target,
     std::string body,
@@ -98,93 +100,107 @@
     request.headers.emplace_back("If-None-Match",
                                  '"' + std::to_string(known_version) + '"');
   }
-  return leaf::try_handle_some(
-      [&]() -> leaf::result<Answer> {
-        BOOST_LEAF_AUTO(response,
-                        ExchangeOnce(io_, endpoint_, request, kCallTimeout));
-        if (response.status >= 500) {
-          return leaf::new_error(PlatformError{
-              .reason = "status " + std::to_string(response.status)});
-        }
-        return Answer{.status = response.status,
-                      .body = std::move(response.body)};
-      },
-      [](const HttpError& error) -> leaf::result<Answer> {
-        return leaf::new_error(PlatformError{.reason = error.reason});
-      });
+  HttpResult<HttpResponse> response =
+      ExchangeOnce(io_, endpoint_, request, kCallTimeout);
+  if (!response)
+    return PlatformError{.reason = response.error().reason};
+  if (response->status >= 500)
+    return PlatformError{.reason =
+                             "status " + std::to_string(response->status)};
+  return Answer{.status = response->status, .body = std::move(response->body)};
 }
 
-leaf::result<std::optional<Row>> PlatformClient::ReadRow(
+PlatformResult<std::optional<Row>> PlatformClient::ReadRow(
     std::string_view table,
     std::string_view key,
     std::uint64_t known_version) {
-  BOOST_LEAF_AUTO(answer, Call("GET",
-                               "/v1/tables/" + std::string(table) + "/rows/" +
-                                   std::string(key),
-                               "", known_version));
-  if (answer.status == 304)
+  auto answer = Call(
+      "GET", "/v1/tables/" + std::string(table) + "/rows/" + std::string(key),
+      "", known_version);
+  if (!answer)
+    return answer.error();
+  if (answer->status == 304)
     return std::optional<Row>();
-  if (answer.status == 404)
+  if (answer->status == 404)
     return std::optional(Row{.key = std::string(key)});
-  BOOST_LEAF_AUTO(object, ParseObject(answer.body));
-  BOOST_LEAF_AUTO(row, ParseRow(object));
-  return std::optional(std::move(row));
+  auto object = ParseObject(answer->body);
+  if (!object)
+    return object.error();
+  auto row = ParseRow(*object);
+  if (!row)
+    return row.error();
+  return std::optional(std::move(*row));
 }
 
-leaf::result<std::optional<TableRead>> PlatformClient::ReadTable(
+PlatformResult<std::optional<TableRead>> PlatformClient::ReadTable(
     std::string_view table,
     std::uint64_t known_version) {
-  BOOST_LEAF_AUTO(answer,
-                  Call("GET", "/v1/tables/" + std::string(table) + "/rows", "",
-                       known_version));
-  if (answer.status == 304)
+  auto answer = Call("GET", "/v1/tables/" + std::string(table) + "/rows", "",
+                     known_version);
+  if (!answer)
+    return answer.error();
+  if (answer->status == 304)
     return std::optional<TableRead>();
-  BOOST_LEAF_AUTO(object, ParseObject(answer.body));
-  const json::value* version = object.if_contains("version");
+  auto object = ParseObject(answer->body);
+  if (!object)
+    return object.error();
+  const json::value* version = object->if_contains("version");
   if (!version || !version->is_int64())
     return Malformed("the table lacks its version");
-  BOOST_LEAF_AUTO(rows, ParseRows(object, "rows"));
+  auto rows = ParseRows(*object, "rows");
+  if (!rows)
+    return rows.error();
   return std::optional(
       TableRead{.version = static_cast<std::uint64_t>(version->get_int64()),
-                .rows = std::move(rows)});
+                .rows = std::move(*rows)});
 }
 
-leaf::result<std::vector<Row>> PlatformClient::Transact(
+PlatformResult<std::vector<Row>> PlatformClient::Transact(
     const std::vector<Write>& writes) {
-  BOOST_LEAF_AUTO(answer, Call("POST", "/v1/transactions", ToJson(writes), 0));
-  if (answer.status == 409) {
-    return leaf::new_error(PlatformError{.failure = PlatformFailure::kConflict,
-                                         .reason = answer.body});
+  auto answer = Call("POST", "/v1/transactions", ToJson(writes), 0);
+  if (!answer)
+    return answer.error();
+  if (answer->status == 409) {
+    return (PlatformError{.failure = PlatformFailure::kConflict,
+                          .reason = answer->body});
   }
-  if (answer.status != 200)
-    return Malformed("status " + std::to_string(answer.status));
-  BOOST_LEAF_AUTO(object, ParseObject(answer.body));
-  return ParseRows(object, "results");
+  if (answer->status != 200)
+    return Malformed("status " + std::to_string(answer->status));
+  auto object = ParseObject(answer->body);
+  if (!object)
+    return object.error();
+  return ParseRows(*object, "results");
 }
 
-leaf::result<std::optional<Estate>> PlatformClient::ReadEstate(
+PlatformResult<std::optional<Estate>> PlatformClient::ReadEstate(
     std::uint64_t known_version) {
-  BOOST_LEAF_AUTO(
-      answer,
-      Call("GET", "/v1/vms?since=" + std::to_string(known_version), "", 0));
-  if (answer.status == 304)
+  auto answer =
+      Call("GET", "/v1/vms?since=" + std::to_string(known_version), "", 0);
+  if (!answer)
+    return answer.error();
+  if (answer->status == 304)
     return std::optional<Estate>();
-  return leaf::try_handle_some(
-      [&]() -> leaf::result<std::optional<Estate>> {
-        BOOST_LEAF_AUTO(estate, Estate::Parse(answer.body));
-        return std::optional(std::move(estate));
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<PlatformResult<std::optional<Estate>>> {
+        BOOST_LEAF_AUTO(estate, Estate::Parse(answer->body));
+        return PlatformResult<std::optional<Estate>>(std::move(estate));
       },
-      [](const ConfigError& error) -> leaf::result<std::optional<Estate>> {
+      [](const ConfigError& error) -> PlatformResult<std::optional<Estate>> {
         return Malformed(error.ToString());
+      },
+      []() -> PlatformResult<std::optional<Estate>> {
+        return Malformed("the list of VMs can't be read");
       });
 }
 
-leaf::result<void> PlatformClient::PutObject(std::string_view name,
-                                             std::string body) {
-  BOOST_LEAF_AUTO(answer, Call("PUT", "/v1/objects/" + std::string(name),
-                               std::move(body), 0));
-  if (answer.status >= 300)
-    return Malformed("status " + std::to_string(answer.status));
+PlatformResult<void> PlatformClient::PutObject(std::string_view name,
+                                               std::string body) {
+  auto answer =
+      Call("PUT", "/v1/objects/" + std::string(name), std::move(body), 0);
+  if (!answer)
+    return answer.error();
+  if (answer->status >= 300)
+    return Malformed("status " + std::to_string(answer->status));
   return {};
 }
 
--- a/Libraries/LibPlatform/platform_client.h
+++ b/Libraries/LibPlatform/platform_client.h
@@ -2,7 +2,7 @@
 // interface is described in docs/PLATFORM.md.
 #pragma once
 
-#include <boost/leaf/result.hpp>
+#include <boost/system/result.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +32,10 @@
   std::string reason;
 };
 
+// The result of a call that suspends its fiber; see HttpResult.
+template <typename T>
+using PlatformResult = boost::system::result<T, PlatformError>;
+
 struct Row {
   std::string key;
   std::uint64_t version = 0;  // 0: no such row
@@ -57,7 +61,7 @@
   std::vector<Row> rows;
 };
 
-// Used from fibers of one thread. Every call fails with PlatformError.
+// Used from fibers of one thread.
 class PlatformClient {
  public:
   PlatformClient(boost::asio::io_context& io,
@@ -65,30 +69,27 @@
                  std::string data_center);
 
   // Yields nothing if the row still has the known version.
-  boost::leaf::result<std::optional<Row>> ReadRow(
-      std::string_view table,
-      std::string_view key,
-      std::uint64_t known_version = 0);
-  boost::leaf::result<std::optional<TableRead>> ReadTable(
+  PlatformResult<std::optional<Row>> ReadRow(std::string_view table,
+                                             std::string_view key,
+                                             std::uint64_t known_version = 0);
+  PlatformResult<std::optional<TableRead>> ReadTable(
       std::string_view table,
       std::uint64_t known_version = 0);
   // Makes all writes or none. Returns the rows as they then stand.
-  boost::leaf::result<std::vector<Row>> Transact(
-      const std::vector<Write>& writes);
+  PlatformResult<std::vector<Row>> Transact(const std::vector<Write>& writes);
   // The VMs that changed since `known_version`, or nothing if none did.
-  boost::leaf::result<std::optional<Estate>> ReadEstate(
-      std::uint64_t known_version);
-  boost::leaf::result<void> PutObject(std::string_view name, std::string body);
+  PlatformResult<std::optional<Estate>> ReadEstate(std::uint64_t known_version);
+  PlatformResult<void> PutObject(std::string_view name, std::string body);
 
  private:
   struct Answer {
     unsigned status = 0;
     std::string body;
   };
-  boost::leaf::result<Answer> Call(std::string method,
-                                   std::string target,
-                                   std::string body,
-                                   std::uint64_t known_version);
+  PlatformResult<Answer> Call(std::string method,
+                              std::string target,
+                              std::string body,
+                              std::uint64_t known_version);
 
   boost::asio::io_context& io_;
   const Endpoint endpoint_;
--- a/Services/Mustardbank/caller_client.cc
+++ b/Services/Mustardbank/caller_client.cc
@@ -6,7 +6,6 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <charconv>
 #include <iostream>
 #include <thread>
@@ -15,7 +14,6 @@
 #include "LibHttp/http_client.h"
 
 namespace json = boost::json;
-namespace leaf = boost::leaf;
 
 namespace mustardbank {
 
@@ -69,13 +67,9 @@
 std::optional<HttpResponse> CallerClient::TryOnce(const HttpRequest& request) {
   const Endpoint entry = entries_[next_entry_ % entries_.size()];
   return RunInFiber(*thread_, [&]() -> std::optional<HttpResponse> {
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<HttpResponse>> {
-          BOOST_LEAF_AUTO(response, ExchangeOnce(thread_->io(), entry, request,
-                                                 wait_ + kAnswerMargin));
-          return std::optional(std::move(response));
-        },
-        [] { return std::optional<HttpResponse>(); });
+    HttpResult<HttpResponse> response =
+        ExchangeOnce(thread_->io(), entry, request, wait_ + kAnswerMargin);
+    return response ? std::optional(std::move(*response)) : std::nullopt;
   });
 }
 
--- a/Services/Mustardbank/dump_command.cc
+++ b/Services/Mustardbank/dump_command.cc
@@ -1,16 +1,12 @@
 // mustardbank dump: the state or the metrics of a running entry process.
 #include <sysexits.h>
 
-#include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <iostream>
 
 #include "LibFiber/run_in_fiber.h"
 #include "LibHttp/http_client.h"
 #include "Mustardbank/commands.h"
 
-namespace leaf = boost::leaf;
-
 namespace mustardbank {
 
 namespace {
@@ -32,20 +28,17 @@
     request.headers.emplace_back("Authorization", "Bearer " + token.asString());
   FiberThread thread;
   return RunInFiber(thread, [&] {
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<int> {
-          BOOST_LEAF_AUTO(response, ExchangeOnce(thread.io(), *endpoint,
-                                                 request, kTimeout));
-          const bool is_ok = response.status == 200;
-          (is_ok ? std::cout : std::cerr) << response.body << '\n';
-          return is_ok ? EX_OK : EX_NOPERM;
-        },
-        [](const HttpError& error) {
-          std::cerr << "no answer: " << kHttpFailureNames[error.failure] << ": "
-                    << error.reason << '\n';
-          return EX_UNAVAILABLE;
-        },
-        [] { return EX_SOFTWARE; });
+    const HttpResult<HttpResponse> response =
+        ExchangeOnce(thread.io(), *endpoint, request, kTimeout);
+    if (!response) {
+      const HttpError& error = response.error();
+      std::cerr << "no answer: " << kHttpFailureNames[error.failure] << ": "
+                << error.reason << '\n';
+      return EX_UNAVAILABLE;
+    }
+    const bool is_ok = response->status == 200;
+    (is_ok ? std::cout : std::cerr) << response->body << '\n';
+    return is_ok ? EX_OK : EX_NOPERM;
   });
 }
 
--- a/Services/Mustardbank/main.cc
+++ b/Services/Mustardbank/main.cc
@@ -91,6 +91,7 @@
 int main(int argc, char** argv) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
+  google::InstallFailureSignalHandler();
   try {
     return Run(docopt::docopt_parse(kUsage, {argv + 1, argv + argc},
                                     /*help=*/true, /*version=*/false));
--- /dev/null
+++ b/Tests/Harness/deployment.h
@@ -0,0 +1,130 @@
+// A whole deployment of real processes on loopback: platform and worker
+// stand-ins and entry VMs.
+#pragma once
+
+#include <boost/json/value.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/endpoint.h"
+#include "LibFiber/fiber_thread.h"
+#include "LibHttp/http_message.h"
+#include "child_process.h"
+
+namespace mustardbank {
+
+struct DeploymentPlan {
+  std::vector<std::string> data_centers = {"rif", "tanger"};
+  int workers = 8;
+  int slots = 8;
+  int rack_size = 6;
+  int cores = 64;
+  int memory_gb = 128;
+  int latency_ms = 0;
+  int worker_processes = 1;  // data centres are spread over them
+  int worker_threads = 2;
+  int entries = 2;
+  int traffic_threads = 2;
+  std::string placement = "home_lending";
+  std::string configuration;  // JSON text
+};
+
+struct EntryVm {
+  std::string name;
+  std::string data_center;
+  Endpoint callers;
+  Endpoint operators;
+  Endpoint peers;
+  std::unique_ptr<ChildProcess> process;
+};
+
+// One start as a worker stand-in logged it.
+struct LoggedStart {
+  std::int64_t at_ms = 0;  // wall clock
+  std::string worker;
+  std::string request;
+  std::string attempt;
+  std::string job;
+  // Names the task without its attempt.
+  std::string task() const { return attempt.substr(0, attempt.rfind('.')); }
+};
+
+class Deployment {
+ public:
+  explicit Deployment(DeploymentPlan plan);
+  ~Deployment();
+
+  // Starts everything and waits until all entry VMs serve. Returns whether
+  // they do.
+  bool Start();
+
+  EntryVm& entry(int index) { return *entries_[index]; }
+  int entry_count() const { return static_cast<int>(entries_.size()); }
+  // Starts entry VM `index`, at its former address if it ran before.
+  void StartEntry(int index);
+  bool WaitUntilServing(int index, std::chrono::milliseconds timeout);
+  ChildProcess& worker_process(int index) { return *workers_[index].process; }
+  Endpoint platform() const { return platform_endpoint_; }
+  std::vector<Endpoint> callers() const;
+
+  std::optional<HttpResponse> Call(Endpoint endpoint,
+                                   HttpRequest request,
+                                   std::chrono::milliseconds timeout);
+  std::optional<HttpResponse> CallAs(
+      const std::string& token,
+      Endpoint endpoint,
+      const std::string& method,
+      const std::string& target,
+      const std::string& body = "",
+      std::chrono::milliseconds timeout = std::chrono::milliseconds(10000));
+  std::string TakeId(const std::string& token, int index);
+  void SetFaults(const boost::json::value& faults);
+  void ListVms(const boost::json::value& vms);
+  void SetWorkerMode(const std::string& worker,
+                     const std::string& mode,
+                     int factor = 1);
+  // Runs a command of the binary; yields its exit code.
+  int RunCommand(const std::vector<std::string>& arguments);
+  int Apply(const std::string& configuration, std::uint64_t expected);
+
+  boost::json::value State(int index);
+  // Sum of a counter over all running entry VMs.
+  std::uint64_t Counter(const std::string& name);
+  std::vector<LoggedStart> Starts() const;
+
+ private:
+  struct WorkerProcess {
+    std::unique_ptr<ChildProcess> process;
+    Endpoint control;
+  };
+
+  std::string File(const std::string& name) const {
+    return directory_ + "/" + name;
+  }
+  void Write(const std::string& name, const std::string& text) const;
+  void StartWorkers();
+
+  const DeploymentPlan plan_;
+  std::string directory_;
+  FiberThread thread_;
+  std::unique_ptr<ChildProcess> platform_;
+  Endpoint platform_endpoint_;
+  std::vector<WorkerProcess> workers_;
+  std::vector<std::unique_ptr<EntryVm>> entries_;
+};
+
+// A configuration of one team with the token "secret" and one service "guide"
+// in the data centres given, whose requests are "card" and, non-idempotent,
+// "closure".
+std::string TestConfiguration(const std::vector<std::string>& data_centers,
+                              const std::string& service_members = "");
+
+// The body of a job of equal tasks.
+std::string TestJob(int tasks, int run_ms, const std::string& request = "card");
+
+// The member of a JSON object as a string, or "".
+std::string JsonMember(const std::string& text, std::string_view name);
+
+}  // namespace mustardbank
