LibDispatch: Spread free slots with heartbeats

Cause: homes of workers are uneven (rendezvous hashing gives one VM 32 slots and another 64), so that busy VMs borrowed by messages all the time, and the request for a loan emptied the view on which admission counts.

Change: heartbeats carry grants to VMs with fewer than an equal part of the free slots, and the list of held slots takes the place of return messages. Own slots are used before borrowed ones, so that borrowed ones fall idle; only slots whose home is the sender are offered.

--- a/Libraries/LibDispatch/lending_system.cc
+++ b/Libraries/LibDispatch/lending_system.cc
@@ -13,8 +13,10 @@
 constexpr std::uint32_t kReserveSlots = 1;
 constexpr std::uint32_t kReserveFraction = 4;
 constexpr std::uint32_t kLeastBorrowed = 2;
+// Slots are asked for once more than one task in so many slots waits.
+constexpr std::size_t kQueueFraction = 10;
 // Messages of loans sent longer ago than this have arrived or are lost.
-constexpr Duration kLoanInTransit = std::chrono::seconds(2);
+constexpr Duration kLoanInTransit = std::chrono::milliseconds(300);
 
 void AddLoan(wire::SlotLoan* loan,
              const std::string& worker,
@@ -23,6 +25,14 @@
   loan->set_slots(slots);
 }
 
+std::uint32_t SumOf(
+    const std::unordered_map<std::string, std::uint32_t>& slots) {
+  std::uint32_t sum = 0;
+  for (const auto& [data_center, count] : slots)
+    sum += count;
+  return sum;
+}
+
 }  // namespace
 
 void LendingSystem::UpdateHomes(Time now) {
@@ -154,7 +164,10 @@
   if (!state_.workers.lends_slots())
     return;
   for (PlacementClass& entry : state_.classes) {
-    if (entry.queue.size() > 0 && now >= entry.next_borrow &&
+    // A short queue drains by itself sooner than slots are worth a message.
+    const std::size_t allotted = state_.workers.AllottedInPools(entry.mask);
+    if (entry.queue.size() > allotted / kQueueFraction &&
+        now >= entry.next_borrow &&
         state_.workers.FreeInPools(entry.mask) == 0) {
       Borrow(entry, now);
     }
@@ -172,16 +185,17 @@
       continue;
     std::uint32_t free = 0;
     for (const std::string& place : entry.places) {
-      const auto it = peer.free_slots.find(place);
-      free += it == peer.free_slots.end() ? 0 : it->second;
+      const auto it = peer.lendable_slots.find(place);
+      free += it == peer.lendable_slots.end() ? 0 : it->second;
     }
-    if (free > 0)
+    free -= std::min(free, peer.asked_slots);
+    if (free >= kLeastBorrowed)
       lenders.emplace_back(free, &peer);
   }
-  std::ranges::sort(
-      lenders, [](const auto& a, const auto& b) { return a.first > b.first; });
-  auto needed = static_cast<std::uint32_t>(
-      std::max<std::size_t>(entry.queue.size(), kLeastBorrowed));
+  std::ranges::sort(lenders, [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  });
+  auto needed = static_cast<std::uint32_t>(entry.queue.size());
   for (const auto& [free, peer] : lenders) {
     if (needed == 0)
       break;
@@ -194,8 +208,7 @@
       borrow->add_data_centers(place);
     state_.counters.Add(Counter::kWastedLending);
     state_.Send(Membership::EndpointOf(peer->identity), std::move(envelope));
-    // Until its next heartbeat the peer counts as having lent its free slots.
-    peer->free_slots.clear();
+    peer->asked_slots += free;
     needed -= asked;
   }
   entry.next_borrow = now + kBorrowInterval;
@@ -204,27 +217,18 @@
 void LendingSystem::ReturnIdle(Time now) {
   const Duration idle =
       std::chrono::milliseconds(state_.options.timing.loan_idle_ms);
-  LoansByPeer returns;
   for (auto it = borrowing_.begin(); it != borrowing_.end();) {
     const WorkerIndex index = *it;
     const Worker& worker = state_.workers[index];
     const bool is_idle = worker.borrowed > worker.running &&
                          now - worker.borrowed_idle_since >= idle;
+    // The home learns of it from the slots that the next heartbeat lists.
     if (is_idle) {
-      const std::uint32_t surplus = worker.borrowed - worker.running;
-      auto [entry, is_new] = returns.try_emplace(worker.home);
-      if (is_new)
-        entry->second = state_.NewEnvelope();
-      AddLoan(entry->second.mutable_give_back()->add_loans(), worker.vm.name,
-              surplus);
-      state_.workers.Update(index, now, [surplus](Worker& changed) {
-        changed.borrowed -= surplus;
-      });
+      ReturnFree(index, worker.borrowed - worker.running, now);
     }
     it = state_.workers[index].borrowed == 0 ? borrowing_.erase(it)
                                              : std::next(it);
   }
-  SendLoans(std::move(returns));
 }
 
 bool LendingSystem::HasQueuedTasksFor(std::uint32_t pool) const {
@@ -246,25 +250,11 @@
   for (std::uint32_t pool = 0; pool < state_.workers.pool_count(); ++pool) {
     if (!WorkerTable::Contains(mask, pool) || HasQueuedTasksFor(pool))
       continue;
-    const std::uint32_t free = state_.workers.FreeInPools(PoolMask{1} << pool);
+    const std::uint32_t free = state_.workers.HomeFreeInPool(pool);
     const std::uint32_t kept = kReserveSlots + free / kReserveFraction;
-    std::uint32_t lendable = std::min(wanted, free - std::min(free, kept));
-    // Lending changes the index that is walked: take a copy.
-    const auto free_workers = state_.workers.FreeWorkers(pool);
-    for (const WorkerTable::FreeEntry& entry : free_workers) {
-      if (lendable == 0)
-        break;
-      const Worker& worker = state_.workers[entry.worker];
-      if (!worker.is_home_here || worker.on_trial)
-        continue;
-      const std::uint32_t slots =
-          std::min(lendable, state_.workers.FreeSlots(entry.worker, now));
-      SetLent(entry.worker, borrower, slots + LentTo(entry.worker, borrower),
-              now);
-      AddLoan(grant->add_loans(), worker.vm.name, slots);
-      lendable -= slots;
-      wanted -= slots;
-    }
+    const std::uint32_t lendable = free - std::min(free, kept);
+    wanted -= Lend(pool, std::min(wanted, lendable), borrower,
+                   *grant->mutable_loans(), now);
   }
   state_.counters.Add(Counter::kWastedLending);
   state_.Send(borrower, std::move(envelope));
@@ -273,16 +263,20 @@
 void LendingSystem::Handle(const wire::VmIdentity& sender,
                            const wire::GrantSlots& message,
                            Time now) {
+  TakeLoans(sender, message.loans(), now);
+}
+
+void LendingSystem::TakeLoans(
+    const wire::VmIdentity& sender,
+    const google::protobuf::RepeatedPtrField<wire::SlotLoan>& loans,
+    Time now) {
   const Endpoint lender = Membership::EndpointOf(sender);
-  LoansByPeer refused;
-  for (const wire::SlotLoan& loan : message.loans()) {
+  for (const wire::SlotLoan& loan : loans) {
     const std::int64_t index = state_.workers.Find(loan.worker());
+    // Slots of workers whose home is elsewhere by now are not taken; their
+    // lender sees so in the next heartbeat.
     if (index < 0 || state_.workers[index].is_home_here ||
         state_.workers[index].home != lender) {
-      auto [it, is_new] = refused.try_emplace(lender);
-      if (is_new)
-        it->second = state_.NewEnvelope();
-      *it->second.mutable_give_back()->add_loans() = loan;
       continue;
     }
     state_.workers.Update(index, now, [&](Worker& worker) {
@@ -291,7 +285,102 @@
     });
     borrowing_.insert(static_cast<WorkerIndex>(index));
   }
-  SendLoans(std::move(refused));
+}
+
+std::uint32_t LendingSystem::Lend(
+    std::uint32_t pool,
+    std::uint32_t wanted,
+    Endpoint borrower,
+    google::protobuf::RepeatedPtrField<wire::SlotLoan>& loans,
+    Time now) {
+  std::uint32_t left = wanted;
+  // Lending changes the index that is walked: take a copy.
+  const auto free_workers = state_.workers.FreeWorkers(pool);
+  for (const WorkerTable::FreeEntry& entry : free_workers) {
+    if (left == 0)
+      break;
+    const Worker& worker = state_.workers[entry.worker];
+    if (!worker.is_home_here || worker.on_trial)
+      continue;
+    const std::uint32_t slots =
+        std::min(left, state_.workers.FreeSlots(entry.worker, now));
+    SetLent(entry.worker, borrower, slots + LentTo(entry.worker, borrower),
+            now);
+    AddLoan(loans.Add(), worker.vm.name, slots);
+    left -= slots;
+  }
+  return wanted - left;
+}
+
+LendingSystem::FreeSpread LendingSystem::SpreadOfFree(Time now) const {
+  FreeSpread spread;
+  spread.own = state_.workers.FreeInPools(~PoolMask{0});
+  std::uint32_t total = spread.own;
+  std::uint32_t vms = 1;
+  for (const auto& [endpoint, peer] : state_.membership.peers()) {
+    if (!state_.membership.IsLive(peer, now))
+      continue;
+    total += SumOf(peer.free_slots);
+    ++vms;
+  }
+  spread.part = total / vms;
+  const auto over_part = [&spread](std::uint32_t slots) {
+    return slots - std::min(slots, spread.part);
+  };
+  spread.surplus = over_part(spread.own);
+  for (const auto& [endpoint, peer] : state_.membership.peers()) {
+    if (state_.membership.IsLive(peer, now))
+      spread.surplus += over_part(SumOf(peer.free_slots));
+  }
+  return spread;
+}
+
+void LendingSystem::ReturnSurplus(Time now) {
+  const FreeSpread spread = SpreadOfFree(now);
+  std::uint32_t left = spread.own - std::min(spread.own, spread.part);
+  for (auto it = borrowing_.begin(); it != borrowing_.end() && left > 0;) {
+    const WorkerIndex index = *it;
+    const std::uint32_t slots =
+        std::min(left, state_.workers.FreeSlots(index, now));
+    ReturnFree(index, slots, now);
+    left -= slots;
+    it = state_.workers[index].borrowed == 0 ? borrowing_.erase(it)
+                                             : std::next(it);
+  }
+}
+
+void LendingSystem::ReturnFree(WorkerIndex index,
+                               std::uint32_t slots,
+                               Time now) {
+  state_.workers.Update(index, now, [slots](Worker& worker) {
+    worker.borrowed -= std::min(worker.borrowed, slots);
+  });
+}
+
+void LendingSystem::AddGrantedSlots(const Peer& peer,
+                                    wire::Heartbeat& heartbeat,
+                                    Time now) {
+  if (!state_.workers.lends_slots() || state_.is_absent() ||
+      !state_.membership.IsLive(peer, now)) {
+    return;
+  }
+  const FreeSpread spread = SpreadOfFree(now);
+  const std::uint32_t peer_free = SumOf(peer.free_slots);
+  const bool is_even = spread.own <= spread.part + kReserveSlots ||
+                       peer_free + kReserveSlots >= spread.part;
+  if (is_even)
+    return;
+  // Each VM with more than its part covers its share of what a peer lacks.
+  std::uint32_t granted = (spread.part - peer_free) *
+                          (spread.own - spread.part) / spread.surplus;
+  for (std::uint32_t pool = 0;
+       pool < state_.workers.pool_count() && granted > 0; ++pool) {
+    if (HasQueuedTasksFor(pool))
+      continue;
+    granted -= Lend(pool, std::min(granted, state_.workers.HomeFreeInPool(pool)),
+                    Membership::EndpointOf(peer.identity),
+                    *heartbeat.mutable_granted(), now);
+  }
 }
 
 void LendingSystem::Handle(const wire::VmIdentity& sender,
--- a/Libraries/LibDispatch/lending_system.h
+++ b/Libraries/LibDispatch/lending_system.h
@@ -40,6 +40,17 @@
                  Time now);
   // The slots that this VM holds of workers whose home is `peer`.
   void AddHeldSlots(Endpoint peer, wire::Heartbeat& heartbeat) const;
+  // Gives borrowed slots back while this VM has more than an equal part of all
+  // free ones.
+  void ReturnSurplus(Time now);
+  // Lends free slots to a peer that has fewer than an equal part of all free
+  // ones. Travels with heartbeats, so that it costs no message.
+  void AddGrantedSlots(const Peer& peer, wire::Heartbeat& heartbeat, Time now);
+  // Takes slots that a peer lent.
+  void TakeLoans(
+      const wire::VmIdentity& sender,
+      const google::protobuf::RepeatedPtrField<wire::SlotLoan>& loans,
+      Time now);
 
  private:
   using LoansByPeer = std::map<Endpoint, wire::Envelope>;
@@ -52,6 +63,21 @@
   void Borrow(PlacementClass& entry, Time now);
   void ReturnIdle(Time now);
   bool HasQueuedTasksFor(std::uint32_t pool) const;
+  // How the free slots of all live VMs are spread.
+  struct FreeSpread {
+    std::uint32_t own = 0;
+    std::uint32_t part = 0;     // an equal part for each VM
+    std::uint32_t surplus = 0;  // of all VMs, over their parts
+  };
+  FreeSpread SpreadOfFree(Time now) const;
+  void ReturnFree(WorkerIndex index, std::uint32_t slots, Time now);
+  // Lends up to `wanted` free slots of a pool's workers whose home is here.
+  std::uint32_t Lend(
+      std::uint32_t pool,
+      std::uint32_t wanted,
+      Endpoint borrower,
+      google::protobuf::RepeatedPtrField<wire::SlotLoan>& loans,
+      Time now);
   std::uint32_t LentTo(WorkerIndex index, Endpoint peer) const;
   void SendLoans(LoansByPeer&& messages);
   void SetLent(WorkerIndex index, Endpoint peer, std::uint32_t slots, Time now);
--- a/Libraries/LibDispatch/membership.cc
+++ b/Libraries/LibDispatch/membership.cc
@@ -43,6 +43,7 @@
     peer.incarnation_since = now;
     peer.leaving = false;
     peer.free_slots.clear();
+    peer.lendable_slots.clear();
     peer.demand.clear();
   }
   peer.identity = identity;
--- a/Libraries/LibDispatch/peer_system.h
+++ b/Libraries/LibDispatch/peer_system.h
@@ -30,11 +30,13 @@
   void SendHeartbeats(Time now) {
     std::erase_if(state_.leaving_workers,
                   [now](const auto& entry) { return entry.second <= now; });
+    lending_.ReturnSurplus(now);
     wire::Envelope common = state_.NewEnvelope();
     FillHeartbeat(*common.mutable_heartbeat());
     for (const auto& [endpoint, peer] : state_.membership.peers()) {
       wire::Envelope envelope = common;
       lending_.AddHeldSlots(endpoint, *envelope.mutable_heartbeat());
+      lending_.AddGrantedSlots(peer, *envelope.mutable_heartbeat(), now);
       state_.counters.Add(Counter::kHeartbeatsSent);
       state_.Send(endpoint, std::move(envelope));
     }
@@ -47,9 +49,13 @@
     peer.leaving = heartbeat.leaving();
     peer.configuration_version = heartbeat.configuration_version();
     peer.estate_version = heartbeat.estate_version();
+    peer.asked_slots = 0;
     peer.free_slots.clear();
-    for (const wire::FreeSlots& free : heartbeat.free())
-      peer.free_slots[free.data_center()] = free.slots();
+    peer.lendable_slots.clear();
+    for (const wire::FreeSlots& free : heartbeat.free()) {
+      peer.free_slots[free.data_center()] += free.slots();
+      peer.lendable_slots[free.data_center()] += free.lendable();
+    }
     peer.demand.clear();
     for (const wire::TeamDemand& demand : heartbeat.demand())
       peer.demand[demand.team()] = demand.tasks();
@@ -58,6 +64,7 @@
     for (const std::string& worker : heartbeat.leaving_workers())
       BarLeavingWorker(worker, now);
     lending_.Reconcile(sender, heartbeat, now);
+    lending_.TakeLoans(sender, heartbeat.granted(), now);
     AskForSnapshot(peer, now);
   }
 
@@ -155,6 +162,7 @@
       wire::FreeSlots* free = heartbeat.add_free();
       free->set_data_center(state_.workers.DataCenterOf(pool));
       free->set_slots(slots);
+      free->set_lendable(state_.workers.HomeFreeInPool(pool));
     }
     for (const Team& team : state_.teams.teams()) {
       if (team.running + team.queued == 0)
--- a/Libraries/LibDispatch/placement.h
+++ b/Libraries/LibDispatch/placement.h
@@ -25,7 +25,8 @@
     } -> std::same_as<std::optional<WorkerIndex>>;
 };
 
-// The fittest free worker by the local view, near ones first.
+// The fittest free worker by the local view: own slots before borrowed ones,
+// near workers before far ones.
 struct LeastLoadedPlacement {
   static constexpr bool kLendsSlots = false;
 
@@ -34,23 +35,26 @@
                                          std::string_view data_center,
                                          Time /*now*/,
                                          RandomEngine& /*random*/) {
-    constexpr std::uint32_t kSlow = 1U << 16;
-    std::optional<std::tuple<bool, bool, std::uint32_t, WorkerIndex>> best;
+    // Whether it is slow, borrowed and far; its rank; its index.
+    using Candidate =
+        std::tuple<bool, bool, bool, std::uint32_t, WorkerIndex>;
+    std::optional<Candidate> best;
     for (std::uint32_t pool = 0; pool < workers.pool_count(); ++pool) {
       if (!WorkerTable::Contains(mask, pool) ||
           workers.FreeWorkers(pool).empty()) {
         continue;
       }
       const WorkerTable::FreeEntry& entry = *workers.FreeWorkers(pool).begin();
-      const std::tuple candidate(entry.rank >= kSlow,
-                                 workers.DataCenterOf(pool) != data_center,
-                                 entry.rank, entry.worker);
+      const Candidate candidate(
+          entry.rank >= WorkerTable::kSlowRank,
+          (entry.rank & WorkerTable::kBorrowedRank) != 0,
+          workers.DataCenterOf(pool) != data_center, entry.rank, entry.worker);
       if (!best || candidate < *best)
         best = candidate;
     }
     if (!best)
       return std::nullopt;
-    return std::get<3>(*best);
+    return std::get<4>(*best);
   }
 };
 
--- a/Libraries/LibDispatch/worker_table.cc
+++ b/Libraries/LibDispatch/worker_table.cc
@@ -8,7 +8,6 @@
 
 // Workers slower than this many times the expected run time come last.
 constexpr double kSlowFactor = 2.5;
-constexpr std::uint32_t kSlowRank = 1U << 16;
 constexpr std::size_t kMaxPools = 64;
 
 }  // namespace
@@ -83,11 +82,14 @@
   const bool is_fit = accepts_work_(worker.vm.state) && !worker.on_trial &&
                       worker.barred_until <= now;
   indexed.allotted = is_fit ? worker.allotment(lends_slots_) : 0;
-  indexed.entry = FreeEntry{
-      .rank =
-          worker.running +
-          (worker.slowness > kSlowFactor || worker.on_trial ? kSlowRank : 0),
-      .worker = index};
+  indexed.home_free = worker.is_home_here ? indexed.free : 0;
+  std::uint32_t rank = worker.running;
+  if (lends_slots_ && !worker.is_home_here)
+    rank += kBorrowedRank;
+  if (worker.slowness > kSlowFactor || worker.on_trial)
+    rank += kSlowRank;
+  indexed.entry = FreeEntry{.rank = rank, .worker = index};
+  pool.home_free += indexed.home_free;
   pool.free_slots += indexed.free;
   pool.allotted += indexed.allotted;
   if (indexed.free > 0)
@@ -100,10 +102,12 @@
   Pool& pool = pools_[workers_[index].pool];
   Indexed& indexed = indexed_[index];
   pool.free_slots -= indexed.free;
+  pool.home_free -= indexed.home_free;
   pool.allotted -= indexed.allotted;
   if (indexed.free > 0)
     pool.free.erase(indexed.entry);
   indexed.free = 0;
+  indexed.home_free = 0;
   indexed.allotted = 0;
 }
 
--- a/Libraries/LibDispatch/worker_table.h
+++ b/Libraries/LibDispatch/worker_table.h
@@ -83,15 +83,23 @@
 
   std::uint32_t FreeSlots(WorkerIndex index, Time now) const;
   std::uint32_t FreeInPools(PoolMask mask) const;
+  // Free slots of a pool's workers whose home is this VM.
+  std::uint32_t HomeFreeInPool(std::uint32_t pool) const {
+    return pools_[pool].home_free;
+  }
   // Slots allotted to this VM in these pools, free or not.
   std::uint32_t AllottedInPools(PoolMask mask) const;
 
   // Free workers of a pool, most suitable first.
   struct FreeEntry {
-    std::uint32_t rank;  // slowness and load
+    std::uint32_t rank;  // slowness, borrowed or not, and load
     WorkerIndex worker;
     auto operator<=>(const FreeEntry&) const = default;
   };
+  // Bits of a rank above the load.
+  static constexpr std::uint32_t kBorrowedRank = 1U << 15;
+  static constexpr std::uint32_t kSlowRank = 1U << 16;
+
   const std::set<FreeEntry>& FreeWorkers(std::uint32_t pool) const {
     return pools_[pool].free;
   }
@@ -117,11 +125,13 @@
     bool accelerator = false;
     std::set<FreeEntry> free;
     std::uint32_t free_slots = 0;
+    std::uint32_t home_free = 0;
     std::uint32_t allotted = 0;
   };
   struct Indexed {
     FreeEntry entry{};
     std::uint32_t free = 0;
+    std::uint32_t home_free = 0;
     std::uint32_t allotted = 0;
   };
 
--- a/Tests/Bench/bench.cc
+++ b/Tests/Bench/bench.cc
@@ -27,6 +27,9 @@
 constexpr int kEntries = 7;
 constexpr int kWorkers = 48;
 constexpr int kSlots = 8;
+constexpr const char* kWastedCauses[] = {
+    "wasted_busy_refusals", "wasted_leaving_refusals", "wasted_unreachable",
+    "wasted_retries",       "wasted_lending",          "wasted_crossed_answers"};
 
 struct Options {
   bool is_json = false;
@@ -127,6 +130,7 @@
                        const Scenario& scenario,
                        const std::string& placement,
                        const LoadReport& report,
+                       const json::object& wasted_by_cause,
                        std::uint64_t wasted,
                        std::uint64_t starts) {
   json::object run{{"deployment", size.name},
@@ -142,6 +146,8 @@
   const double wasted_per_task =
       starts == 0 ? 0
                   : static_cast<double>(wasted) / static_cast<double>(starts);
+  run["wasted_by_cause"] = wasted_by_cause;
+  run["task_starts"] = starts;
   run["wasted_messages_per_task"] = std::round(wasted_per_task * 1e4) / 1e4;
   return run;
 }
@@ -154,6 +160,9 @@
   LoadPlan plan = LoadOf(size, scenario, is_quick);
   plan.entries = deployment.callers();
   const std::uint64_t wasted_before = deployment.Counter("wasted");
+  json::object causes;
+  for (const char* cause : kWastedCauses)
+    causes[cause] = deployment.Counter(cause);
   const std::uint64_t starts_before = deployment.Counter("task_starts");
   auto fault = std::async(std::launch::async, [&] {
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
@@ -161,7 +170,11 @@
   });
   const LoadReport report = RunLoad(plan);
   fault.get();
-  return Summarise(size, scenario, placement, report,
+  for (const char* cause : kWastedCauses) {
+    causes[cause] = deployment.Counter(cause) -
+                    causes.at(cause).to_number<std::uint64_t>();
+  }
+  return Summarise(size, scenario, placement, report, causes,
                    deployment.Counter("wasted") - wasted_before,
                    deployment.Counter("task_starts") - starts_before);
 }
