--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
+#include <utility>
 
 #include "LibConfig/json_reader.h"
 
@@ -88,8 +89,12 @@
   for (const auto& [name, service] : configuration.services) {
     for (const std::string& team : service.teams) {
       if (!configuration.teams.contains(team)) {
-        reader.Fault("services", "service " + name + " names the team " + team +
-                                     ", which is not configured");
+        std::string expected = "service ";
+        expected += name;
+        expected += " names the team ";
+        expected += team;
+        expected += ", which is not configured";
+        reader.Fault("services", std::move(expected));
       }
     }
   }
--- a/Libraries/LibConfig/json_document.cc
+++ b/Libraries/LibConfig/json_document.cc
@@ -19,10 +19,12 @@
 // https://www.boost.org/doc/libs/1_81_0/libs/json/doc/html/json/ref/boost__json__basic_parser.html
 class LineHandler {
  public:
+  // NOLINTBEGIN(readability-identifier-naming): names that Boost.JSON requires
   static constexpr std::size_t max_array_size = -1;
   static constexpr std::size_t max_object_size = -1;
   static constexpr std::size_t max_string_size = -1;
   static constexpr std::size_t max_key_size = -1;
+  // NOLINTEND(readability-identifier-naming)
 
   using Error = boost::json::error_code;
 
--- a/Libraries/LibConfig/json_reader.cc
+++ b/Libraries/LibConfig/json_reader.cc
@@ -1,6 +1,7 @@
 #include "LibConfig/json_reader.h"
 
 #include <sstream>
+#include <utility>
 
 namespace json = boost::json;
 
@@ -50,7 +51,7 @@
 
 std::string JsonObjectReader::OptionalString(std::string_view key,
                                              std::string fallback) {
-  return Find(key) ? RequiredString(key) : fallback;
+  return Find(key) ? RequiredString(key) : std::move(fallback);
 }
 
 std::uint64_t JsonObjectReader::Integer(std::string_view key,
--- a/Libraries/LibCore/boot_clock.h
+++ b/Libraries/LibCore/boot_clock.h
@@ -13,6 +13,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The name that std::chrono requires.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now();
--- a/Libraries/LibDispatch/fair_queue.h
+++ b/Libraries/LibDispatch/fair_queue.h
@@ -34,7 +34,7 @@
 
 class FairQueue {
  public:
-  void Push(TeamIndex team, QueuedTask task) {
+  void Push(TeamIndex team, const QueuedTask& task) {
     TeamQueue& queue = teams_[team];
     if (queue.tasks.empty()) {
       const double floor = active_.empty() ? 0 : active_.begin()->first;
@@ -43,7 +43,7 @@
     }
     work_ += task.expected;
     ++size_;
-    queue.tasks.push(std::move(task));
+    queue.tasks.push(task);
   }
 
   struct Popped {
--- a/Libraries/LibDispatch/worker_table.cc
+++ b/Libraries/LibDispatch/worker_table.cc
@@ -47,7 +47,8 @@
       indexed_.emplace_back();
       workers_.back().pool = EnsurePool(vm.data_center, vm.accelerators > 0);
     }
-    Update(it->second, now, [&](Worker& worker) { worker.vm = vm; });
+    Update(it->second, now,
+           [&record = vm](Worker& worker) { worker.vm = record; });
   }
 }
 
--- a/Tests/Harness/deployment.cc
+++ b/Tests/Harness/deployment.cc
@@ -131,6 +131,16 @@
   vm.operators =
       Endpoint::Parse(JsonMember(line, "operators")).value_or(vm.operators);
   vm.peers = Endpoint::Parse(JsonMember(line, "peers")).value_or(vm.peers);
+  ListEntry(index, "live");
+}
+
+void Deployment::ListEntry(int index, const std::string& state) {
+  const EntryVm& vm = *entries_[index];
+  ListVms(json::array{json::object{{"name", vm.name},
+                                   {"role", "entry"},
+                                   {"state", state},
+                                   {"data_center", vm.data_center},
+                                   {"endpoint", vm.peers.ToString()}}});
 }
 
 bool Deployment::WaitUntilServing(int index,
@@ -241,15 +251,17 @@
   return json::parse(response->body);
 }
 
-std::uint64_t Deployment::Counter(const std::string& name) {
-  std::uint64_t sum = 0;
+std::map<std::string, std::uint64_t> Deployment::Counters() {
+  std::map<std::string, std::uint64_t> sums;
   for (int i = 0; i < entry_count(); ++i) {
     const json::value state = State(i);
     const json::value* counters = state.as_object().if_contains("counters");
-    if (counters)
-      sum += counters->at(name).to_number<std::uint64_t>();
+    if (!counters)
+      continue;
+    for (const auto& member : counters->as_object())
+      sums[member.key()] += member.value().to_number<std::uint64_t>();
   }
-  return sum;
+  return sums;
 }
 
 std::vector<LoggedStart> Deployment::Starts() const {
--- a/Tests/Harness/deployment.h
+++ b/Tests/Harness/deployment.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/json/value.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,8 @@
   int entry_count() const { return static_cast<int>(entries_.size()); }
   // Starts entry VM `index`, at its former address if it ran before.
   void StartEntry(int index);
+  // Sets the state of an entry VM in the platform's list.
+  void ListEntry(int index, const std::string& state);
   bool WaitUntilServing(int index, std::chrono::milliseconds timeout);
   ChildProcess& worker_process(int index) { return *workers_[index].process; }
   Endpoint platform() const { return platform_endpoint_; }
@@ -90,8 +93,8 @@
   int Apply(const std::string& configuration, std::uint64_t expected);
 
   boost::json::value State(int index);
-  // Sum of a counter over all running entry VMs.
-  std::uint64_t Counter(const std::string& name);
+  // The counters of all running entry VMs, added up by name.
+  std::map<std::string, std::uint64_t> Counters();
   std::vector<LoggedStart> Starts() const;
 
  private:
--- a/Tests/LibEntry/process_test.cc
+++ b/Tests/LibEntry/process_test.cc
@@ -193,6 +193,17 @@
     proof.Expect(final && final->status == 502 && !SaysNotRun(final),
                  "failed, may have run, at every VM");
   }
+  // Another home dies and is not replaced: the platform's list proves it.
+  const std::string listed_id = deployment.TakeId(kToken, 0);
+  auto listed = SubmitInBackground(deployment, 0, listed_id, job);
+  Sleep(100);
+  deployment.entry(0).process->Kill();
+  proof.Fault();
+  listed.get();
+  deployment.ListEntry(0, "gone");
+  const auto gone = SubmitUntilFinal(deployment, 1, listed_id, job);
+  proof.Expect(gone && gone->status == 502 && !SaysNotRun(gone),
+               "a VM dropped from the list is not gone");
   proof.Expect(StartedOnceEach(deployment), "a task started twice");
   proof.Finish();
 }
