--- a/Tests/Harness/child_process.cc
+++ b/Tests/Harness/child_process.cc
@@ -11,8 +11,6 @@
 #include <sstream>
 #include <thread>
 
-extern char** environ;
-
 namespace mustardbank {
 
 namespace {
@@ -50,6 +48,7 @@
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
--- a/Tests/LibDispatch/dispatch_world.h
+++ b/Tests/LibDispatch/dispatch_world.h
@@ -250,8 +250,8 @@
     const std::shared_ptr<Core> doomed(vm.core.release());
     After(0, [doomed] {});
     auto lost = std::exchange(vm.requests, {});
-    for (auto& [request, respond] : lost)
-      After(1, [respond] { respond(Reply{.status = 0}); });
+    for (const auto& [request, respond] : lost)
+      After(1, [lost_respond = respond] { lost_respond(Reply{.status = 0}); });
   }
 
   bool CanReachPlatform(int index) const {
@@ -380,7 +380,7 @@
     }
   }
 
-  void Carry(int index, PublishIdentity action) {
+  void Carry(int index, const PublishIdentity& action) {
     if (CanReachPlatform(index))
       platform_.registrations[vms_[index].endpoint] = action.identity;
   }
@@ -579,7 +579,7 @@
   // Sends a caller's request to a VM; `respond` gets status 0 if it is lost.
   void Ask(int index,
            const std::function<Event(Requester)>& make,
-           std::function<void(const Reply&)> respond) {
+           const std::function<void(const Reply&)>& respond) {
     Vm& vm = vms_[index];
     if (!vm.core) {
       After(1, [respond] { respond(Reply{.status = 0}); });
--- a/Tests/LibHttp/http_test.cc
+++ b/Tests/LibHttp/http_test.cc
@@ -26,7 +26,9 @@
     sockaddr_in address{.sin_family = AF_INET,
                         .sin_port = htons(endpoint.port),
                         .sin_addr = {.s_addr = htonl(endpoint.ip)}};
-    ::connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    const int connected = ::connect(
+        socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    LONGS_EQUAL(0, connected);
   }
   ~RawClient() { ::close(socket_); }
 
