LibEntry: Keep as many idle connections to a worker as it has slots

Cause: seven entry VMs with up to 12 idle connections each could pass the 64 of a worker, which then leaves a new one unserved until it times out, its outcome unknown. Found by reading, while the capacity page was written.

Change: 8 in place of 12, so 56 at most today.

--- a/Libraries/LibEntry/worker_client.cc
+++ b/Libraries/LibEntry/worker_client.cc
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{300};
-// Idle connections kept to a worker: its slots, with some to spare for
-// attempts whose end was not yet seen.
-constexpr std::size_t kMaxIdle = 12;
+// Idle connections kept to a worker: as many as its slots, so that seven entry
+// VMs stay within its 64 connections.
+constexpr std::size_t kMaxIdle = 8;
 
 std::string FormatAttempt(const AttemptId& id) {
   return id.home.endpoint.ToString() + '/' +
