LibDispatch: Borrow from one peer without a list, decode successions once

Cause, found on reading the change again: borrowing sorted, cut and walked a list of lenders of which one was ever asked; SendLoans served one caller and checked again what MoveHome had ruled out; PlatformLoop decoded identities and successions by hand beside Membership.

Change: the peer with most to lend is picked in one pass; the claims are sent where they are made; Membership decodes for both. Behaviour is the same, but that ties between lenders go to the lower address, where the sort left them open.

--- a/Libraries/LibDispatch/lending_system.cc
+++ b/Libraries/LibDispatch/lending_system.cc
@@ -15,8 +15,6 @@
 constexpr std::uint32_t kLeastBorrowed = 2;
 // Slots are asked for once more than one task in so many slots waits.
 constexpr std::size_t kQueueFraction = 2;
-// Peers asked at once.
-constexpr std::size_t kMaxLenders = 1;
 // Messages of loans sent longer ago than this have arrived or are lost.
 constexpr Duration kLoanInTransit = std::chrono::milliseconds(300);
 
@@ -58,7 +56,10 @@
         state_.membership.HomeOf(vm.name, vm.data_center, now, is_absent);
     MoveHome(i, home, claims, now);
   }
-  SendLoans(std::move(claims));
+  for (auto& [peer, envelope] : claims) {
+    state_.counters.Add(Counter::kWastedLending);
+    state_.Send(peer, std::move(envelope));
+  }
 }
 
 void LendingSystem::MoveHome(WorkerIndex index,
@@ -153,15 +154,6 @@
   }
 }
 
-void LendingSystem::SendLoans(LoansByPeer&& messages) {
-  for (auto& [peer, envelope] : messages) {
-    if (peer == state_.endpoint())
-      continue;
-    state_.counters.Add(Counter::kWastedLending);
-    state_.Send(peer, std::move(envelope));
-  }
-}
-
 void LendingSystem::Tick(Time now) {
   if (!state_.workers.lends_slots())
     return;
@@ -181,7 +173,9 @@
 }
 
 void LendingSystem::Borrow(PlacementClass& entry, Time now) {
-  std::vector<std::pair<std::uint32_t, Peer*>> lenders;
+  entry.next_borrow = now + kBorrowInterval;
+  Peer* lender = nullptr;
+  std::uint32_t most = 0;
   for (auto& [endpoint, peer] : state_.membership.peers()) {
     if (!state_.membership.IsLive(peer, now))
       continue;
@@ -191,30 +185,23 @@
       free += it == peer.lendable_slots.end() ? 0 : it->second;
     }
     free -= std::min(free, peer.asked_slots);
-    if (free >= kLeastBorrowed)
-      lenders.emplace_back(free, &peer);
-  }
-  std::ranges::sort(
-      lenders, [](const auto& a, const auto& b) { return a.first > b.first; });
-  auto needed = static_cast<std::uint32_t>(entry.queue.size());
-  if (lenders.size() > kMaxLenders)
-    lenders.resize(kMaxLenders);
-  for (const auto& [free, peer] : lenders) {
-    if (needed == 0)
-      break;
-    const std::uint32_t asked = std::min(needed, free);
-    wire::Envelope envelope = state_.NewEnvelope();
-    wire::BorrowSlots* borrow = envelope.mutable_borrow();
-    borrow->set_slots(asked);
-    borrow->set_accelerator(entry.accelerator);
-    for (const std::string& place : entry.places)
-      borrow->add_data_centers(place);
-    state_.counters.Add(Counter::kWastedLending);
-    state_.Send(Membership::EndpointOf(peer->identity), std::move(envelope));
-    peer->asked_slots += free;
-    needed -= asked;
+    if (free >= kLeastBorrowed && free > most) {
+      lender = &peer;
+      most = free;
+    }
   }
-  entry.next_borrow = now + kBorrowInterval;
+  if (!lender)
+    return;
+  wire::Envelope envelope = state_.NewEnvelope();
+  wire::BorrowSlots* borrow = envelope.mutable_borrow();
+  borrow->set_slots(
+      std::min(static_cast<std::uint32_t>(entry.queue.size()), most));
+  borrow->set_accelerator(entry.accelerator);
+  for (const std::string& place : entry.places)
+    borrow->add_data_centers(place);
+  state_.counters.Add(Counter::kWastedLending);
+  state_.Send(Membership::EndpointOf(lender->identity), std::move(envelope));
+  lender->asked_slots += most;
 }
 
 void LendingSystem::ReturnIdle(Time now) {
@@ -226,9 +213,8 @@
     const bool is_idle = worker.borrowed > worker.running &&
                          now - worker.borrowed_idle_since >= idle;
     // The home learns of it from the slots that the next heartbeat lists.
-    if (is_idle) {
+    if (is_idle)
       ReturnFree(index, worker.borrowed - worker.running, now);
-    }
     it = state_.workers[index].borrowed == 0 ? borrowing_.erase(it)
                                              : std::next(it);
   }
--- a/Libraries/LibDispatch/lending_system.h
+++ b/Libraries/LibDispatch/lending_system.h
@@ -75,7 +75,6 @@
                      google::protobuf::RepeatedPtrField<wire::SlotLoan>& loans,
                      Time now);
   std::uint32_t LentTo(WorkerIndex index, Endpoint peer) const;
-  void SendLoans(LoansByPeer&& messages);
   void SetLent(WorkerIndex index, Endpoint peer, std::uint32_t slots, Time now);
 
   DispatchState& state_;
--- a/Libraries/LibDispatch/membership.cc
+++ b/Libraries/LibDispatch/membership.cc
@@ -101,13 +101,19 @@
 }
 
 void Membership::AddSuccession(const wire::Succession& succession) {
-  const HomeId home{
+  successors_[HomeIdOf(succession)] = SuccessorOf(succession);
+}
+
+HomeId Membership::HomeIdOf(const wire::Succession& succession) {
+  return HomeId{
       .endpoint = {.ip = succession.home_ip(),
                    .port = static_cast<std::uint16_t>(succession.home_port())},
       .incarnation = succession.incarnation()};
-  successors_[home] =
-      Endpoint{.ip = succession.ip(),
-               .port = static_cast<std::uint16_t>(succession.port())};
+}
+
+Endpoint Membership::SuccessorOf(const wire::Succession& succession) {
+  return Endpoint{.ip = succession.ip(),
+                  .port = static_cast<std::uint16_t>(succession.port())};
 }
 
 std::optional<Endpoint> Membership::SuccessorOf(const HomeId& home) const {
--- a/Libraries/LibDispatch/membership.h
+++ b/Libraries/LibDispatch/membership.h
@@ -62,6 +62,8 @@
   // Notes entry VMs that the platform has dropped from its list.
   void DidReadEstate(const Estate& estate);
   void AddSuccession(const wire::Succession& succession);
+  static HomeId HomeIdOf(const wire::Succession& succession);
+  static Endpoint SuccessorOf(const wire::Succession& succession);
   static wire::Succession MakeSuccession(const HomeId& home,
                                          Endpoint successor);
 
--- a/Libraries/LibEntry/platform_loop.cc
+++ b/Libraries/LibEntry/platform_loop.cc
@@ -190,8 +190,7 @@
   const EntryVmRow row{.name = identity.name(),
                        .data_center = identity.data_center(),
                        .incarnation = identity.incarnation()};
-  const Endpoint endpoint{.ip = identity.ip(),
-                          .port = static_cast<std::uint16_t>(identity.port())};
+  const Endpoint endpoint = Membership::EndpointOf(identity);
   thread_.Post([this, write = Write{.kind = WriteKind::kPut,
                                     .table = std::string(kEntryVmTable),
                                     .key = endpoint.ToString(),
@@ -202,19 +201,13 @@
 }
 
 void PlatformLoop::Publish(PublishSuccession&& action) {
-  const wire::Succession& succession = action.succession;
-  const Endpoint endpoint{
-      .ip = succession.ip(),
-      .port = static_cast<std::uint16_t>(succession.port())};
-  const HomeId home{
-      .endpoint = {.ip = succession.home_ip(),
-                   .port = static_cast<std::uint16_t>(succession.home_port())},
-      .incarnation = succession.incarnation()};
+  const Endpoint successor = Membership::SuccessorOf(action.succession);
+  const HomeId home = Membership::HomeIdOf(action.succession);
   thread_.Post(
       [this, write = Write{.kind = WriteKind::kPut,
                            .table = std::string(kSuccessionTable),
                            .key = HomeKey(home),
-                           .value = endpoint.ToString(),
+                           .value = successor.ToString(),
                            .ttl_ms = settings_.limits.answer_kept_ms}] {
         pending_.push_back(write);
         fibers_.Run([this] { WritePending(); });
