--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -143,6 +143,7 @@
   void ProbeNow(LeasedWorker& worker, Time now);
   void SendHold(LeasedWorker& worker, Time now);
   bool NeedsHold(const LeasedWorker& worker, Time now) const;
+  void DidFindFenced(LeasedWorker& worker, Time now);
   void DidFindDown(LeasedWorker& worker, Time now);
   void DidFindReplaced(LeasedWorker& worker, Time now);
   OrderTarget TargetOf(const LeasedWorker& worker) const;
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -110,7 +110,9 @@
 }
 
 bool LeaseDispatcher::NeedsHold(const LeasedWorker& worker, Time now) const {
-  if (worker.awaited_hold != 0 || now < worker.hold_again)
+  // An idle worker that is released may have its next owner already.
+  if (worker.awaited_hold != 0 || now < worker.hold_again ||
+      (worker.releasing && worker.IsIdle()))
     return false;
   return worker.phase != WorkerPhase::kHeld || !worker.IsIdle() ||
          worker.acknowledged > worker.acknowledged_sent ||
@@ -174,8 +176,7 @@
         worker.hold_again += timing_.stranger_interval;
       return;
     case OrderAnswer::kFenced:
-      fenced_.push_back(worker.entry.id);
-      Disown(order.target.worker, now);
+      DidFindFenced(worker, now);
       return;
     case OrderAnswer::kRefusedConnection:
       DidFindDown(worker, now);
@@ -195,6 +196,15 @@
   }
 }
 
+void LeaseDispatcher::DidFindFenced(LeasedWorker& worker, Time now) {
+  const std::string id = worker.entry.id;
+  // An order may cross the hand-over of the worker; that says nothing of the
+  // other workers of its shard.
+  if (!worker.releasing || !worker.IsIdle())
+    fenced_.push_back(id);
+  Disown(id, now);
+}
+
 // Nothing listens at the worker's address, or a cut of the network resets
 // connections to it: its tasks may run on until their lease has lapsed.
 void LeaseDispatcher::DidFindDown(LeasedWorker& worker, Time now) {
@@ -406,8 +416,7 @@
       return;
     case OrderAnswer::kFenced:
       if (order.target.fencing_token == worker.fencing_token) {
-        fenced_.push_back(worker.entry.id);
-        Disown(order.target.worker, now);
+        DidFindFenced(worker, now);
       }
       return;
     case OrderAnswer::kRefusedConnection:
@@ -460,8 +469,7 @@
     return;
   LeasedWorker& worker = it->second;
   if (answer == OrderAnswer::kFenced) {
-    fenced_.push_back(worker.entry.id);
-    Disown(order.target.worker, now);
+    DidFindFenced(worker, now);
     return;
   }
   if (answer == OrderAnswer::kOtherWorker) {
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -140,7 +140,8 @@
     return true;
   const Peer& peer = it->second;
   // A VM that was never heard has been known since its record was read.
-  const Time heard = std::max(peer.heard, peer.in_sight_since);
+  const Time heard =
+      std::max({peer.heard, peer.in_sight_since, store_regained_});
   return now - heard > timing_.owner_silence && !IsHeardByOthers(record.owner, now);
 }
 
@@ -172,7 +173,8 @@
 }
 
 void Ownership::ConsiderClaim(const ShardId& id, Shard& shard, Time now) {
-  if (leaving_ || shard.claim_in_flight || owned_.contains(id))
+  if (leaving_ || !has_store_ || shard.claim_in_flight ||
+      owned_.contains(id))
     return;
   bool is_offered = false;
   if (shard.record) {
@@ -287,12 +289,7 @@
   if (it == owned_.end())
     return std::nullopt;
   const Owned& owned = it->second;
-  if (owned.predecessor.empty())
-    return owned.version;
-  const auto peer = peers_.find(owned.predecessor);
-  if (peer == peers_.end() || now - peer->second.heard > timing_.owner_silence)
-    return owned.version;
-  const ShardStatus* status = FindStatus(peer->second.last, id);
+  const ShardStatus* status = PredecessorStatus(id, owned, now);
   if (!status)
     return owned.version;
   const bool is_busy = status->successor != self_.name ||
@@ -301,6 +298,16 @@
   return is_busy ? std::nullopt : std::optional(owned.version);
 }
 
+// What the owner before says of the shard; null once it has none of it.
+const ShardStatus* Ownership::PredecessorStatus(const ShardId& id,
+                                                const Owned& owned,
+                                                Time now) const {
+  const auto peer = peers_.find(owned.predecessor);
+  if (peer == peers_.end() || now - peer->second.heard > timing_.owner_silence)
+    return nullptr;
+  return FindStatus(peer->second.last, id);
+}
+
 std::string Ownership::ChooseSuccessor(const ShardId& id, Time now) const {
   std::string best;
   std::tuple<bool, std::size_t, double> best_rank;
@@ -320,6 +327,10 @@
 void Ownership::HandOver(const ShardId& id, Owned& owned, Time now) {
   if (owned.is_handed_over)
     return;
+  // The next owner hears of busy workers from this VM alone.
+  const ShardStatus* status = PredecessorStatus(id, owned, now);
+  if (status && (status->successor != self_.name || !status->busy.empty()))
+    return;
   if (!owned.successor.empty()) {
     const auto it = peers_.find(owned.successor);
     if (it != peers_.end() && IsAlive(it->second, now))
@@ -368,6 +379,19 @@
   NoteLostPeers(now);
 }
 
+bool Ownership::IsHandingOver() const {
+  return std::any_of(owned_.begin(), owned_.end(), [](const auto& entry) {
+    return !entry.second.successor.empty();
+  });
+}
+
+void Ownership::DidRegainStore(Time now) {
+  has_store_ = true;
+  store_regained_ = now;
+  for (auto& [id, shard] : shards_)
+    shard.ownerless_since = Time::max();
+}
+
 bool Ownership::IsClaiming() const {
   return std::any_of(shards_.begin(), shards_.end(), [](const auto& entry) {
     return entry.second.claim_in_flight;
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -70,6 +70,10 @@
   std::uint32_t ShardCount(const std::string& data_center) const;
 
   void DidHear(const Heartbeat& heartbeat, Time now);
+  // Nothing is claimed while the store does not answer. Silence of owners
+  // counts from its return: this VM may have been cut off from them, too.
+  void DidLoseStore() { has_store_ = false; }
+  void DidRegainStore(Time now);
   // `version` is that of the new record, or empty if the claim failed.
   void DidClaim(const ClaimShard& claim,
                 std::optional<std::uint64_t> version,
@@ -93,6 +97,7 @@
                                         Time now) const;
   bool Owns(const ShardId& shard) const { return owned_.contains(shard); }
   bool IsReleasing(const ShardId& shard) const;
+  bool IsHandingOver() const;
   // When the shard was claimed; it must be owned.
   Time ClaimedAt(const ShardId& shard) const {
     return owned_.at(shard).claimed;
@@ -151,6 +156,9 @@
             Time now);
   void Drop(const ShardId& id, std::string_view cause, Time now);
   void HandOver(const ShardId& id, Owned& owned, Time now);
+  const ShardStatus* PredecessorStatus(const ShardId& id,
+                                       const Owned& owned,
+                                       Time now) const;
   std::string ChooseSuccessor(const ShardId& id, Time now) const;
   void NoteLostPeers(Time now);
 
@@ -166,6 +174,8 @@
   std::vector<ClaimShard> claims_;
   std::vector<ProbeDataCenter> probes_;
   bool leaving_ = false;
+  bool has_store_ = true;
+  Time store_regained_ = Time::min();
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -146,7 +146,8 @@
 
 void LeaseControl::Tick(Time now) {
   ownership_.Tick(now);
-  if (now - synced_at_ >= kSyncInterval) {
+  // What a successor is told of busy workers must be as new as the offer.
+  if (now - synced_at_ >= kSyncInterval || ownership_.IsHandingOver()) {
     SyncWorkers(now);
     SyncBusy();
   }
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -64,6 +64,7 @@
   failures_ = 0;
   if (is_lost_) {
     is_lost_ = false;
+    control_.ownership().DidRegainStore(now);
     control_.log()
         .Write(LogEvent::kStoreRegained, now, LogBudget::kState)
         .Add(LogField::kAgeMs, now - answered_at_);
@@ -79,6 +80,7 @@
   }
   if (++failures_ == kLostAfter) {
     is_lost_ = true;
+    control_.ownership().DidLoseStore();
     control_.log()
         .Write(LogEvent::kStoreLost, BootClock::now(), LogBudget::kState)
         .Add(LogField::kCause, kStoreFailureNames[error.failure])
--- a/Tests/LibLease/ownership_test.cc
+++ b/Tests/LibLease/ownership_test.cc
@@ -165,6 +165,31 @@
               ownership.MakeHeartbeat({}, 0, now).shards.at(0).successor);
 }
 
+// A VM that was cut off from the store and its peers reaches the store first.
+TEST(Ownership, silence_counts_from_the_return_of_the_store) {
+  ownership.SetShardCount("rif", 1);
+  ownership.DidReadMember(MakeMember("owner", 3), now);
+  ownership.DidReadShard({.shard = kShard,
+                          .owner = "owner",
+                          .owner_incarnation = 3,
+                          .version = 10},
+                         now);
+  ownership.Tick(now);
+  ownership.DidLoseStore();
+  for (int i = 0; i < 60; ++i) {
+    now += milliseconds(100);
+    ownership.Tick(now);
+    CHECK(ownership.TakeClaims().empty());
+  }
+  ownership.DidRegainStore(now);
+  now += milliseconds(300);
+  ownership.Tick(now);
+  CHECK(ownership.TakeClaims().empty());
+  now += milliseconds(900);
+  ownership.Tick(now);
+  CHECK_EQUAL(1, ownership.TakeClaims().size());
+}
+
 TEST(Ownership, earlier_life_of_this_vm_is_followed_at_once) {
   ownership.SetShardCount("rif", 1);
   ownership.DidReadShard({.shard = kShard,
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -26,12 +26,13 @@
   Time now{std::chrono::seconds(100)};
   std::vector<ClaimShard> claims;
   std::vector<StartOrder> starts;
+  std::vector<HoldOrder> holds;
 
   void setup() override {
     control.SetSinks(
         {.start = [this](StartOrder&& order) { starts.push_back(order); },
          .stop = [](StopOrder&&) {},
-         .hold = [](HoldOrder&&) {},
+         .hold = [this](HoldOrder&& order) { holds.push_back(order); },
          .finish = [](FinishJob&&) {},
          .claim = [this](ClaimShard&& claim) { claims.push_back(claim); },
          .probe = [](ProbeDataCenter&&) {}});
@@ -73,6 +74,54 @@
   CHECK_EQUAL(1, control.dispatcher().workers().size());
 }
 
+// A successor takes the workers that are not listed as busy.
+TEST(LeaseControl, hand_over_lists_busy_workers_from_its_first_heartbeat) {
+  control.ownership().SetShardCount("tanger", 1);
+  control.ownership().DidProbe("tanger", true, now);
+  control.Tick(now);
+  now += milliseconds(900);
+  control.ownership().DidProbe("tanger", true, now);
+  now += milliseconds(900);
+  control.ownership().DidProbe("tanger", true, now);
+  control.Tick(now);
+  for (const ClaimShard& claim : claims)
+    control.ownership().DidClaim(claim, 12, now);
+  WorkerEntry worker = MakeWorker("a");
+  worker.data_center = "tanger";
+  control.SetWorkers({worker}, now);
+  control.Tick(now);
+  control.dispatcher().DidHold(holds.at(0), OrderAnswer::kAccepted,
+                               {.incarnation = 1, .clock_ms = 1000}, now);
+  control.Submit({.id = "job",
+                  .groups = {{.count = 1, .each = {.millicores = 1000}}},
+                  .policy = {.name = "queue", .service = "guide"},
+                  .arrived = now,
+                  .deadline = now + milliseconds(5000),
+                  .home = "self"},
+                 now);
+  control.Pump(now);
+  CHECK_EQUAL(1, starts.size());
+  control.ownership().DidReadMember({.name = "home",
+                                     .data_center = "tanger",
+                                     .endpoint = {.ip = 1, .port = 1},
+                                     .incarnation = 3},
+                                    now);
+  Heartbeat heartbeat;
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(10);
+    control.ownership().DidHear({.name = "home", .incarnation = 3}, now);
+    control.Tick(now);
+    heartbeat = control.ownership().MakeHeartbeat({}, 0, now);
+    for (const ShardStatus& status : heartbeat.shards) {
+      if (status.successor == "home") {
+        CHECK_EQUAL(1, status.busy.size());
+        return;
+      }
+    }
+  }
+  FAIL("the shard was not handed over");
+}
+
 TEST(LeaseControl, older_configuration_is_not_put_in_force) {
   control.SetConfiguration({.version = 5}, "feed", now);
   control.SetConfiguration({.version = 4}, "feed", now);
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -57,7 +57,9 @@
     LeaseFaultKind::kLoseAnswers, LeaseFaultKind::kDelayOrders,
     LeaseFaultKind::kStoreDown,   LeaseFaultKind::kStoreLosesAnswers};
 
-rc::Gen<LeaseScenario> GenScenario() {
+const std::vector<LeaseFaultKind> kPlannedFaults{LeaseFaultKind::kLeaveVm};
+
+rc::Gen<LeaseScenario> GenScenario(const std::vector<LeaseFaultKind>& kinds) {
   return rc::gen::build<LeaseScenario>(
       rc::gen::set(
           &LeaseScenario::jobs,
@@ -67,7 +69,7 @@
       rc::gen::set(&LeaseScenario::faults,
                    rc::gen::resize(
                        8, rc::gen::container<std::vector<LeaseFault>>(
-                              GenFault(kAllFaults)))));
+                              GenFault(kinds)))));
 }
 
 rc::detail::TestParams Params(int cases, LeaseBreak broken) {
@@ -94,7 +96,9 @@
                     std::string& first) {
   const auto result = rc::detail::checkTestable(
       [&] {
-        const LeaseScenario scenario = *GenScenario();
+        const LeaseScenario scenario = *GenScenario(
+            guarantee == LeaseGuarantee::kGracefulLeave ? kPlannedFaults
+                                                        : kAllFaults);
         LeaseWorld world(scenario, broken);
         const auto violations = world.Run();
         ++tally.cases;
@@ -168,6 +172,9 @@
 TEST(LeaseGuarantees, one_owner) {
   Holds(LeaseGuarantee::kOneOwner);
 }
+TEST(LeaseGuarantees, graceful_leave) {
+  Holds(LeaseGuarantee::kGracefulLeave);
+}
 
 TEST(BrokenLeaseGuarantees, room_kept) {
   IsFound(LeaseGuarantee::kRoomKept, LeaseBreak::kStartsHaveNoLease);
@@ -181,6 +188,9 @@
 TEST(BrokenLeaseGuarantees, leaving_spared) {
   IsFound(LeaseGuarantee::kLeavingSpared, LeaseBreak::kLeavingIgnored);
 }
+TEST(BrokenLeaseGuarantees, graceful_leave) {
+  IsFound(LeaseGuarantee::kGracefulLeave, LeaseBreak::kBusyWorkersUnlisted);
+}
 TEST(BrokenLeaseGuarantees, one_owner) {
   IsFound(LeaseGuarantee::kOneOwner, LeaseBreak::kWorkersIgnoreTokens);
 }
--- a/Tests/LibLeaseEntry/lease_world.cc
+++ b/Tests/LibLeaseEntry/lease_world.cc
@@ -197,8 +197,12 @@
   if (now_ < vm.heartbeat_at)
     return;
   vm.heartbeat_at = now_ + 150;
-  const Heartbeat heartbeat = vm.control->ownership().MakeHeartbeat(
+  Heartbeat heartbeat = vm.control->ownership().MakeHeartbeat(
       vm.control->dispatcher().Load(Now()), 1, Now());
+  if (broken_ == LeaseBreak::kBusyWorkersUnlisted) {
+    for (ShardStatus& status : heartbeat.shards)
+      status.busy.clear();
+  }
   for (int peer = 0; peer < kVms; ++peer) {
     if (peer == index || !ReachesPeers(index, peer))
       continue;
@@ -602,6 +606,12 @@
   Job& job = jobs_[index];
   if (job.owner != vm || vms_[job.home].name != finish.home)
     return;
+  const bool is_planned = std::all_of(
+      scenario_.faults.begin(), scenario_.faults.end(), [](const auto& fault) {
+        return fault.kind == LeaseFaultKind::kLeaveVm;
+      });
+  if (is_planned && finish.result.cause == JobCause::kOwnershipLost)
+    Violate(LeaseGuarantee::kGracefulLeave, finish.job);
   JobOutcome outcome = finish.result.outcome;
   if (broken_ == LeaseBreak::kRefusalsOfStartedJobs &&
       outcome == JobOutcome::kGivenUp)
--- a/Tests/LibLeaseEntry/lease_world.h
+++ b/Tests/LibLeaseEntry/lease_world.h
@@ -24,6 +24,7 @@
   kFastClockAssumed,     // leases are taken to lapse too early
   kRefusalsOfStartedJobs,
   kLeavingIgnored,
+  kBusyWorkersUnlisted,  // in the heartbeats of VMs that leave
 };
 
 enum class LeaseGuarantee {
@@ -32,10 +33,12 @@
   kTrueRefusal,    // a job that was refused has never started
   kLeavingSpared,  // a worker that leaves gets nothing new
   kOneOwner,       // no order of a former owner has an effect
+  kGracefulLeave,  // a planned stop ends no task; with such stops alone
 };
 
-inline constexpr EnumNames<LeaseGuarantee, 5> kLeaseGuaranteeNames{
-    {"room_kept", "one_run", "true_refusal", "leaving_spared", "one_owner"}};
+inline constexpr EnumNames<LeaseGuarantee, 6> kLeaseGuaranteeNames{
+    {"room_kept", "one_run", "true_refusal", "leaving_spared", "one_owner",
+     "graceful_leave"}};
 
 class LeaseWorld {
  public:
