Mustardbank: Explain a request from the logs of several processes

`mustardbank explain ID FILE...` prints the history of a request in order, with changes of the processes and workers it met, and its cause in one sentence.

--- a/Services/Mustardbank/commands.h
+++ b/Services/Mustardbank/commands.h
@@ -13,6 +13,7 @@
 
 int RunEntryCommand(const Arguments& arguments);
 int RunLeaseEntryCommand(const Arguments& arguments);
+int RunExplainCommand(const Arguments& arguments);
 int RunSubmitCommand(const Arguments& arguments);
 int RunStatusCommand(const Arguments& arguments);
 int RunCancelCommand(const Arguments& arguments);
--- a/Services/Mustardbank/main.cc
+++ b/Services/Mustardbank/main.cc
@@ -25,6 +25,7 @@
   mustardbank show --platform=ENDPOINT
   mustardbank questionnaire [--answers=FILE] [--output=FILE]
   mustardbank dump --operators=ENDPOINT [--token=TOKEN] [--metrics]
+  mustardbank explain [--json] ID FILE...
   mustardbank load --plan=FILE [--report=FILE] [--quiet]
   mustardbank version
   mustardbank (-h | --help)
@@ -43,6 +44,8 @@
   show           Print the configuration on the platform.
   questionnaire  Make a configuration from answers about a team's requests.
   dump           Print the state, or the metrics, of a running entry process.
+  explain        Print the history of a request from log files of several
+                 processes, and its cause.
   load           Generate open-loop load by a plan and report on it.
 
 Options:
@@ -61,6 +64,7 @@
   --report=FILE         Write the report here and not to standard output.
   --quiet               Show no progress.
   --metrics             Print metrics and not the state.
+  --json                Print as JSON.
   -h --help             Show this text.
 
 Exit codes are those of sysexits.h: 0 done, 64 usage, 65 bad input, 69 service
@@ -71,6 +75,7 @@
     kCommands[] = {
         {"entry", mustardbank::RunEntryCommand},
         {"lease-entry", mustardbank::RunLeaseEntryCommand},
+        {"explain", mustardbank::RunExplainCommand},
         {"submit", mustardbank::RunSubmitCommand},
         {"status", mustardbank::RunStatusCommand},
         {"cancel", mustardbank::RunCancelCommand},
