Tests: Share one model of the lease protocol between world and stand-in

The worker of LeaseWorld becomes WorkerModel, which the stand-in of the users' platform will use too.

--- /dev/null
+++ b/Tests/Harness/worker_model.cc
@@ -0,0 +1,125 @@
+#include "Harness/worker_model.h"
+
+#include <algorithm>
+
+namespace mustardbank {
+
+OrderAnswer WorkerModel::TakeToken(std::uint64_t token) {
+  if (token < token_ && !options_.ignores_tokens)
+    return OrderAnswer::kFenced;
+  token_ = std::max(token_, token);
+  return OrderAnswer::kAccepted;
+}
+
+void WorkerModel::ExtendLease(std::int64_t until, std::int64_t now) {
+  lease_until_ = std::max(
+      lease_until_, std::min(until, ClockAt(now) + options_.longest_lease_ms));
+}
+
+OrderAnswer WorkerModel::Start(const RunId& run,
+                               std::uint64_t token,
+                               std::int64_t lease_until,
+                               const Task& task,
+                               std::int64_t now) {
+  Settle(now);
+  if (TakeToken(token) == OrderAnswer::kFenced)
+    return OrderAnswer::kFenced;
+  if (lease_until <= ClockAt(now))
+    return OrderAnswer::kLate;
+  const auto known = runs_.find(run.task);
+  if (known != runs_.end()) {
+    ExtendLease(lease_until, now);
+    return known->second.number == run.number ? OrderAnswer::kAccepted
+                                              : OrderAnswer::kSuperseded;
+  }
+  const auto closed = closed_.find(run.task);
+  if (closed != closed_.end() && closed->second >= run.number) {
+    ExtendLease(lease_until, now);
+    return OrderAnswer::kSuperseded;
+  }
+  ExtendLease(lease_until, now);
+  runs_[run.task] = {.number = run.number,
+                     .millicores = task.millicores,
+                     .ends_at = now + task.run_ms,
+                     .end = task.end};
+  return OrderAnswer::kAccepted;
+}
+
+OrderAnswer WorkerModel::Stop(const RunId& run,
+                              std::uint64_t token,
+                              std::int64_t now) {
+  Settle(now);
+  if (TakeToken(token) == OrderAnswer::kFenced)
+    return OrderAnswer::kFenced;
+  const auto it = runs_.find(run.task);
+  if (it != runs_.end() && it->second.number == run.number) {
+    if (it->second.stops_at == 0)
+      it->second.stops_at = now + options_.stop_ms;
+    return OrderAnswer::kAccepted;
+  }
+  auto& closed = closed_[run.task];
+  closed = std::max(closed, run.number);
+  return OrderAnswer::kAccepted;
+}
+
+OrderAnswer WorkerModel::Hold(std::uint64_t token,
+                              std::int64_t lease_until,
+                              std::uint64_t acknowledged,
+                              std::int64_t now) {
+  Settle(now);
+  if (TakeToken(token) == OrderAnswer::kFenced)
+    return OrderAnswer::kFenced;
+  if (lease_until > 0)
+    ExtendLease(lease_until, now);
+  std::erase_if(ended_, [acknowledged](const EndedTask& ended) {
+    return ended.sequence <= acknowledged;
+  });
+  return OrderAnswer::kAccepted;
+}
+
+void WorkerModel::Settle(std::int64_t now) {
+  std::vector<std::pair<std::string, RunEnd>> over;
+  for (const auto& [task, run] : runs_) {
+    if (ClockAt(now) >= lease_until_)
+      over.emplace_back(task, RunEnd::kLapsed);
+    else if (now >= run.ends_at)
+      over.emplace_back(task, run.end);
+    else if (run.stops_at > 0 && now >= run.stops_at)
+      over.emplace_back(task, RunEnd::kStopped);
+  }
+  for (const auto& [task, end] : over)
+    Close(task, end);
+}
+
+void WorkerModel::Close(const std::string& task, RunEnd end) {
+  const std::uint32_t number = runs_.at(task).number;
+  runs_.erase(task);
+  auto& closed = closed_[task];
+  closed = std::max(closed, number);
+  ended_.push_back({.sequence = next_end_++,
+                    .run = {.task = task, .number = number},
+                    .end = end});
+}
+
+HoldReport WorkerModel::Report(std::int64_t now) const {
+  HoldReport report{.incarnation = static_cast<std::uint64_t>(born_) + 1,
+                    .clock_ms = ClockAt(now),
+                    .ended = ended_};
+  for (const auto& [task, run] : runs_) {
+    const std::int64_t left = std::max<std::int64_t>(0, run.ends_at - now);
+    report.running.push_back(
+        {.run = {.task = task, .number = run.number},
+         .percent =
+             static_cast<int>(100 - std::min<std::int64_t>(100, left / 10))});
+  }
+  return report;
+}
+
+std::int64_t WorkerModel::UsedMillicores() const {
+  std::int64_t used = 0;
+  for (const auto& [task, run] : runs_)
+    used += run.millicores;
+  return used;
+}
+
+}  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -66,10 +66,10 @@
           rc::gen::resize(40, rc::gen::nonEmpty(
                                   rc::gen::container<std::vector<LeaseJobPlan>>(
                                       GenJob())))),
-      rc::gen::set(&LeaseScenario::faults,
-                   rc::gen::resize(
-                       8, rc::gen::container<std::vector<LeaseFault>>(
-                              GenFault(kinds)))));
+      rc::gen::set(
+          &LeaseScenario::faults,
+          rc::gen::resize(8, rc::gen::container<std::vector<LeaseFault>>(
+                                 GenFault(kinds)))));
 }
 
 rc::detail::TestParams Params(int cases, LeaseBreak broken) {
--- a/Tests/LibLeaseEntry/lease_scenario.h
+++ b/Tests/LibLeaseEntry/lease_scenario.h
@@ -12,15 +12,15 @@
   kCutWorkers,    // a VM does not reach the workers; nothing answers
   kResetWorkers,  // the same, and connections are refused
   kFreezeVm,
-  kKillVm,        // it starts again afterwards
-  kLeaveVm,       // graceful stop; it starts again afterwards
-  kCutPeers,      // a VM does not reach the other VMs
+  kKillVm,    // it starts again afterwards
+  kLeaveVm,   // graceful stop; it starts again afterwards
+  kCutPeers,  // a VM does not reach the other VMs
   // It starts again afterwards, under its id, and not before its owner knows
   // that it was gone (LeaseTiming::contact_limit).
   kCrashWorker,
   kWorkerLeaves,
-  kLoseAnswers,   // of a worker
-  kDelayOrders,   // orders to a worker are carried out seconds later
+  kLoseAnswers,  // of a worker
+  kDelayOrders,  // orders to a worker are carried out seconds later
   kStoreDown,
   kStoreLosesAnswers,
 };
--- a/Tests/LibLeaseEntry/lease_world.cc
+++ b/Tests/LibLeaseEntry/lease_world.cc
@@ -10,12 +10,12 @@
 constexpr int kStepMs = 10;
 constexpr int kHopMs = 1;
 constexpr int kStoreMs = 6;
-constexpr int kResendMs = 1300;      // of a caller, after a lost connection
-constexpr int kPatienceMs = 2500;    // of a caller
+constexpr int kResendMs = 1300;    // of a caller, after a lost connection
+constexpr int kPatienceMs = 2500;  // of a caller
 constexpr int kLongestLeaseMs = 1000;
 constexpr int kStopMs = 50;
-constexpr int kLateMs = 2500;        // a delayed order arrives
-constexpr int kDrainMs = 2000;       // from the record to no new starts
+constexpr int kLateMs = 2500;   // a delayed order arrives
+constexpr int kDrainMs = 2000;  // from the record to no new starts
 constexpr int kLeastRestartMs = 1600;
 constexpr int kWorkersIntervalMs = 1000;
 constexpr double kSlowClock = 0.98;
@@ -139,14 +139,12 @@
       if (!crashed.alive)
         return;
       crashed.alive = false;
-      crashed.runs.clear();
+      crashed.model = WorkerModel(crashed.options, now_);
       At(std::max(end, now_ + kLeastRestartMs), [this, id = crashed.entry.id] {
         Worker& again = workers_.at(id);
-        const WorkerEntry entry = again.entry;
-        const double rate = again.rate;
-        const int left_at = again.left_at;
-        again = Worker{.entry = entry, .born = now_, .rate = rate};
-        again.left_at = left_at;
+        again.alive = true;
+        again.model = WorkerModel(again.options, now_);
+        again.waiters.clear();
         again.entry.incarnation = static_cast<std::uint64_t>(now_) + 1;
       });
       return;
@@ -239,7 +237,8 @@
           [=, this](StartOrder&& order) {
             if (broken_ == LeaseBreak::kStartsHaveNoLease)
               order.lease_until_ms = 1'000'000;
-            const auto tell = [=, this](OrderAnswer answer, std::int64_t clock) {
+            const auto tell = [=, this](OrderAnswer answer,
+                                        std::int64_t clock) {
               dispatcher().DidStart(order, answer, clock, Now());
               pump();
             };
@@ -247,10 +246,11 @@
                 vm, order.target, order.timeout,
                 [=, this](Worker& worker) {
                   const OrderAnswer answer = Begin(worker, order);
-                  const std::int64_t clock = ClockOf(worker);
-                  Reply(vm, life, order.target.worker, order.timeout,
-                        [=] { tell(answer, clock); },
-                        [=] { tell(OrderAnswer::kNoAnswer, 0); });
+                  const std::int64_t clock = worker.model.ClockAt(now_);
+                  Reply(
+                      vm, life, order.target.worker, order.timeout,
+                      [=] { tell(answer, clock); },
+                      [=] { tell(OrderAnswer::kNoAnswer, 0); });
                 },
                 [=](OrderAnswer answer) { tell(answer, 0); });
           },
@@ -263,26 +263,14 @@
             SendOrder(
                 vm, order.target, order.timeout,
                 [=, this](Worker& worker) {
-                  const OrderAnswer answer =
-                      CheckToken(worker, order.target.fencing_token);
-                  if (answer == OrderAnswer::kAccepted) {
-                    auto& closed = worker.closed[order.run.task];
-                    closed = std::max(closed, order.run.number);
-                    const auto run = worker.runs.find(order.run.task);
-                    if (run != worker.runs.end() &&
-                        run->second.number == order.run.number)
-                      At(now_ + kStopMs, [this, id = worker.entry.id,
-                                          born = worker.born, order] {
-                        Worker& stopped = workers_.at(id);
-                        const auto it = stopped.runs.find(order.run.task);
-                        if (stopped.born == born && it != stopped.runs.end() &&
-                            it->second.number == order.run.number)
-                          CloseRun(stopped, order.run.task, RunEnd::kStopped);
-                      });
-                  }
-                  Reply(vm, life, order.target.worker, order.timeout,
-                        [=] { tell(answer); },
-                        [=] { tell(OrderAnswer::kNoAnswer); });
+                  CheckToken(worker, order.target.fencing_token);
+                  const OrderAnswer answer = worker.model.Stop(
+                      order.run, order.target.fencing_token, now_);
+                  SettleAt(now_ + kStopMs, worker.entry.id);
+                  Reply(
+                      vm, life, order.target.worker, order.timeout,
+                      [=] { tell(answer); },
+                      [=] { tell(OrderAnswer::kNoAnswer); });
                 },
                 tell);
           },
@@ -295,27 +283,25 @@
             SendOrder(
                 vm, order.target, order.timeout,
                 [=, this](Worker& worker) {
-                  const OrderAnswer answer =
-                      CheckToken(worker, order.target.fencing_token);
+                  CheckToken(worker, order.target.fencing_token);
+                  const OrderAnswer answer = worker.model.Hold(
+                      order.target.fencing_token, order.lease_until_ms,
+                      order.acknowledged, now_);
                   if (answer != OrderAnswer::kAccepted) {
-                    Reply(vm, life, order.target.worker, order.timeout,
-                          [=] { fail(answer); },
-                          [=] { fail(OrderAnswer::kNoAnswer); });
+                    Reply(
+                        vm, life, order.target.worker, order.timeout,
+                        [=] { fail(answer); },
+                        [=] { fail(OrderAnswer::kNoAnswer); });
                     return;
                   }
-                  ExtendLease(worker, order.lease_until_ms);
-                  std::erase_if(worker.ended, [&](const EndedTask& ended) {
-                    return ended.sequence <= order.acknowledged;
-                  });
                   if (is_delivering_late_)
                     return;
                   worker.waiters.push_back(
                       {order, vm, life, now_ + ToMs(order.wait)});
                   const std::string id = worker.entry.id;
                   AnswerWaiters(worker);
-                  At(now_ + ToMs(order.wait), [this, id] {
-                    AnswerWaiters(workers_.at(id));
-                  });
+                  At(now_ + ToMs(order.wait),
+                     [this, id] { AnswerWaiters(workers_.at(id)); });
                 },
                 fail);
           },
@@ -367,20 +353,20 @@
   };
   const int index = static_cast<int>(
       std::distance(workers_.begin(), workers_.find(target.worker)));
-  const int born = workers_.at(target.worker).born;
+  const std::int64_t born = workers_.at(target.worker).model.born();
   if (Is(LeaseFaultKind::kDelayOrders, index)) {
     At(now_ + kLateMs, [this, target, born, deliver] {
       Worker& worker = workers_.at(target.worker);
       // What was on its way to an earlier life is gone.
-      if (worker.alive && worker.born == born) {
-        Settle(worker);
+      if (worker.alive && worker.model.born() == born) {
         // The VM has been told that no answer came, and hears no other.
         is_delivering_late_ = true;
         deliver(worker);
         is_delivering_late_ = false;
       }
     });
-    At(now_ + ToMs(timeout), [fail_on_vm] { fail_on_vm(OrderAnswer::kNoAnswer); });
+    At(now_ + ToMs(timeout),
+       [fail_on_vm] { fail_on_vm(OrderAnswer::kNoAnswer); });
     return;
   }
   At(now_ + kHopMs, [this, vm, target, timeout, deliver, fail_on_vm] {
@@ -393,7 +379,6 @@
     } else if (!worker.alive) {
       fail_on_vm(OrderAnswer::kRefusedConnection);
     } else {
-      Settle(worker);
       deliver(worker);
     }
   });
@@ -407,8 +392,8 @@
                        std::function<void()> lose) {
   if (is_delivering_late_)
     return;
-  const int index = static_cast<int>(
-      std::distance(workers_.begin(), workers_.find(worker)));
+  const int index =
+      static_cast<int>(std::distance(workers_.begin(), workers_.find(worker)));
   const bool is_lost = Is(LeaseFaultKind::kLoseAnswers, index) ||
                        Is(LeaseFaultKind::kCutWorkers, vm) ||
                        Is(LeaseFaultKind::kResetWorkers, vm);
@@ -418,125 +403,67 @@
      });
 }
 
-OrderAnswer LeaseWorld::CheckToken(Worker& worker, std::uint64_t token) {
-  if (token < worker.token) {
-    if (broken_ != LeaseBreak::kWorkersIgnoreTokens)
-      return OrderAnswer::kFenced;
-    Violate(LeaseGuarantee::kOneOwner, worker.entry.id + " obeyed token " +
-                                           std::to_string(token) + " after " +
-                                           std::to_string(worker.token));
-  }
-  worker.token = std::max(worker.token, token);
-  return OrderAnswer::kAccepted;
-}
-
-void LeaseWorld::ExtendLease(Worker& worker, std::int64_t until) {
-  worker.lease_until = std::max(
-      worker.lease_until, std::min(until, ClockOf(worker) + kLongestLeaseMs));
+void LeaseWorld::CheckToken(const Worker& worker, std::uint64_t token) {
+  if (token < worker.model.token() &&
+      broken_ == LeaseBreak::kWorkersIgnoreTokens)
+    Violate(LeaseGuarantee::kOneOwner,
+            worker.entry.id + " obeyed token " + std::to_string(token) +
+                " after " + std::to_string(worker.model.token()));
 }
 
 OrderAnswer LeaseWorld::Begin(Worker& worker, const StartOrder& order) {
-  const OrderAnswer checked = CheckToken(worker, order.target.fencing_token);
-  if (checked != OrderAnswer::kAccepted)
-    return checked;
-  if (order.lease_until_ms <= ClockOf(worker))
-    return OrderAnswer::kLate;
-  const auto known = worker.runs.find(order.run.task);
-  if (known != worker.runs.end() && known->second.number == order.run.number)
-    return OrderAnswer::kAccepted;
-  const auto closed = worker.closed.find(order.run.task);
-  if ((closed != worker.closed.end() &&
-       closed->second >= order.run.number) ||
-      known != worker.runs.end())
-    return OrderAnswer::kSuperseded;
+  CheckToken(worker, order.target.fencing_token);
+  Job& job = jobs_[std::stoul(order.run.task, nullptr, 16)];
+  const auto had = worker.model.runs().find(order.run.task);
+  const bool was_there = had != worker.model.runs().end();
+  const OrderAnswer answer = worker.model.Start(
+      order.run, order.target.fencing_token, order.lease_until_ms,
+      {.millicores = job.plan.millicores, .run_ms = job.plan.run_ms}, now_);
+  if (answer != OrderAnswer::kAccepted || was_there)
+    return answer;
   ++starts_;
-  const std::string id = order.run.task.substr(0, order.run.task.find('.'));
-  const std::size_t index = std::stoul(id, nullptr, 16);
-  Job& job = jobs_[index];
   job.has_started = true;
   for (auto& [other_id, other] : workers_) {
-    Settle(other);
-    if (other.alive && other.runs.contains(order.run.task))
+    other.model.Settle(now_);
+    if (&other != &worker && other.alive &&
+        other.model.runs().contains(order.run.task))
       Violate(LeaseGuarantee::kOneRun, order.run.task + " runs on " + other_id +
-                                           " and starts on " +
-                                           worker.entry.id);
+                                           " and starts on " + worker.entry.id);
   }
-  std::int64_t used = job.plan.millicores;
-  for (const auto& [task, run] : worker.runs)
-    used += run.size;
-  if (used > worker.entry.capacity.millicores)
+  if (worker.model.UsedMillicores() > worker.entry.capacity.millicores)
     Violate(LeaseGuarantee::kRoomKept,
-            worker.entry.id + " runs " + std::to_string(used));
+            worker.entry.id + " runs " +
+                std::to_string(worker.model.UsedMillicores()));
   if (now_ > worker.left_at + kDrainMs && active_.empty())
     Violate(LeaseGuarantee::kLeavingSpared, worker.entry.id);
-  ExtendLease(worker, order.lease_until_ms);
-  const int ends_at = now_ + job.plan.run_ms;
-  worker.runs[order.run.task] = {.number = order.run.number,
-                                 .size = job.plan.millicores,
-                                 .ends_at = ends_at};
-  At(ends_at, [this, worker_id = worker.entry.id] {
-    Settle(workers_.at(worker_id));
-  });
-  return OrderAnswer::kAccepted;
-}
-
-void LeaseWorld::Settle(Worker& worker) {
-  std::vector<std::pair<std::string, RunEnd>> closed;
-  for (const auto& [task, run] : worker.runs) {
-    if (ClockOf(worker) >= worker.lease_until)
-      closed.emplace_back(task, RunEnd::kLapsed);
-    else if (now_ >= run.ends_at)
-      closed.emplace_back(task, RunEnd::kDone);
-  }
-  for (const auto& [task, end] : closed)
-    CloseRun(worker, task, end);
-}
-
-void LeaseWorld::CloseRun(Worker& worker, const std::string& task, RunEnd end) {
-  const std::uint32_t number = worker.runs.at(task).number;
-  worker.runs.erase(task);
-  auto& closed = worker.closed[task];
-  closed = std::max(closed, number);
-  worker.ended.push_back({.sequence = worker.next_end++,
-                          .run = {.task = task, .number = number},
-                          .end = end});
-  AnswerWaiters(worker);
+  SettleAt(now_ + job.plan.run_ms, worker.entry.id);
+  return answer;
 }
 
-HoldReport LeaseWorld::ReportOf(const Worker& worker) const {
-  HoldReport report{.incarnation = static_cast<std::uint64_t>(worker.born) + 1,
-                    .clock_ms = ClockOf(worker),
-                    .ended = worker.ended};
-  for (const auto& [task, run] : worker.runs) {
-    const int left = std::max(0, run.ends_at - now_);
-    report.running.push_back(
-        {.run = {.task = task, .number = run.number},
-         .percent = 100 - std::min(100, left / 10)});
-  }
-  return report;
+void LeaseWorld::SettleAt(int when, const std::string& worker) {
+  At(when, [this, worker] { AnswerWaiters(workers_.at(worker)); });
 }
 
 void LeaseWorld::AnswerWaiters(Worker& worker) {
+  worker.model.Settle(now_);
   std::vector<HoldWaiter> waiting;
   for (HoldWaiter& waiter : std::exchange(worker.waiters, {})) {
-    const bool has_news = std::any_of(
-        worker.ended.begin(), worker.ended.end(), [&](const EndedTask& ended) {
-          return ended.sequence > waiter.order.acknowledged;
-        });
+    const bool has_news = worker.model.HasEndsAfter(waiter.order.acknowledged);
     if (!has_news && now_ < waiter.until) {
       waiting.push_back(std::move(waiter));
       continue;
     }
-    const HoldReport report = ReportOf(worker);
+    const HoldReport report = worker.model.Report(now_);
     const auto tell = [this, waiter](OrderAnswer answer,
                                      const HoldReport& what) {
       LeaseControl& control = *vms_[waiter.vm].control;
       control.dispatcher().DidHold(waiter.order, answer, what, Now());
       control.Pump(Now());
     };
-    Reply(waiter.vm, waiter.life, worker.entry.id, waiter.order.timeout,
-          [tell, report] { tell(OrderAnswer::kAccepted, report); },
-          [tell] { tell(OrderAnswer::kNoAnswer, {}); });
+    Reply(
+        waiter.vm, waiter.life, worker.entry.id, waiter.order.timeout,
+        [tell, report] { tell(OrderAnswer::kAccepted, report); },
+        [tell] { tell(OrderAnswer::kNoAnswer, {}); });
   }
   worker.waiters.insert(worker.waiters.end(), waiting.begin(), waiting.end());
 }
@@ -570,12 +497,12 @@
   } else if (!ReachesPeers(job.home, job.owner)) {
     Close(index, JobOutcome::kRefused);
   } else {
-    At(now_ + kHopMs, [this, index, owner = job.owner,
-                       life = vms_[job.owner].life] {
-      if (!vms_[owner].alive)
-        Close(index, JobOutcome::kGivenUp);
-      OnVm(owner, life, [this, index, owner] { RunAtOwner(index, owner); });
-    });
+    At(now_ + kHopMs,
+       [this, index, owner = job.owner, life = vms_[job.owner].life] {
+         if (!vms_[owner].alive)
+           Close(index, JobOutcome::kGivenUp);
+         OnVm(owner, life, [this, index, owner] { RunAtOwner(index, owner); });
+       });
   }
 }
 
@@ -607,9 +534,8 @@
   if (job.owner != vm || vms_[job.home].name != finish.home)
     return;
   const bool is_planned = std::all_of(
-      scenario_.faults.begin(), scenario_.faults.end(), [](const auto& fault) {
-        return fault.kind == LeaseFaultKind::kLeaveVm;
-      });
+      scenario_.faults.begin(), scenario_.faults.end(),
+      [](const auto& fault) { return fault.kind == LeaseFaultKind::kLeaveVm; });
   if (is_planned && finish.result.cause == JobCause::kOwnershipLost)
     Violate(LeaseGuarantee::kGracefulLeave, finish.job);
   JobOutcome outcome = finish.result.outcome;
@@ -699,13 +625,18 @@
 std::map<LeaseGuarantee, std::vector<std::string>> LeaseWorld::Run() {
   for (int i = 0; i < kWorkers; ++i) {
     const std::string id = "worker" + std::to_string(i);
-    workers_[id] = Worker{
-        .entry = {.id = id,
-                  .service = "guide",
-                  .endpoint = {.ip = 2, .port = 1},
-                  .data_center = "rif",
-                  .capacity = {.millicores = 64'000, .memory_mb = 1000}},
-        .rate = i % 2 == 0 ? 1 : kSlowClock};
+    Worker& worker = workers_[id];
+    worker.entry = {.id = id,
+                    .service = "guide",
+                    .endpoint = {.ip = 2, .port = 1},
+                    .data_center = "rif",
+                    .capacity = {.millicores = 64'000, .memory_mb = 1000}};
+    worker.options = {
+        .clock_rate = i % 2 == 0 ? 1 : kSlowClock,
+        .longest_lease_ms = kLongestLeaseMs,
+        .stop_ms = kStopMs,
+        .ignores_tokens = broken_ == LeaseBreak::kWorkersIgnoreTokens};
+    worker.model = WorkerModel(worker.options, 0);
   }
   for (int i = 0; i < kVms; ++i)
     StartVm(i);
--- a/Tests/LibLeaseEntry/lease_world.h
+++ b/Tests/LibLeaseEntry/lease_world.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "Harness/worker_model.h"
 #include "LibLeaseEntry/lease_control.h"
 #include "lease_scenario.h"
 
@@ -20,8 +21,8 @@
 enum class LeaseBreak {
   kNone,
   kWorkersIgnoreTokens,
-  kStartsHaveNoLease,    // late orders are carried out
-  kFastClockAssumed,     // leases are taken to lapse too early
+  kStartsHaveNoLease,  // late orders are carried out
+  kFastClockAssumed,   // leases are taken to lapse too early
   kRefusalsOfStartedJobs,
   kLeavingIgnored,
   kBusyWorkersUnlisted,  // in the heartbeats of VMs that leave
@@ -67,11 +68,6 @@
     int heartbeat_at = 0;
     int workers_at = 0;
   };
-  struct WorkerRun {
-    std::uint32_t number = 0;
-    std::int64_t size = 0;
-    int ends_at = 0;
-  };
   struct HoldWaiter {
     HoldOrder order;
     int vm = 0;
@@ -80,15 +76,9 @@
   };
   struct Worker {
     WorkerEntry entry;
+    WorkerModel::Options options;
+    WorkerModel model{{}, 0};
     bool alive = true;
-    int born = 0;
-    double rate = 1;  // of its clock
-    std::uint64_t token = 0;
-    std::int64_t lease_until = 0;
-    std::map<std::string, WorkerRun> runs;
-    std::map<std::string, std::uint32_t> closed;  // highest run that ended
-    std::vector<EndedTask> ended;
-    std::uint64_t next_end = 1;
     std::vector<HoldWaiter> waiters;
     int left_at = kEndMs * 2;  // when the store was told that it leaves
   };
@@ -106,7 +96,9 @@
     bool is_done = false;
   };
 
-  Time Now() const { return Time{} + std::chrono::milliseconds(100'000 + now_); }
+  Time Now() const {
+    return Time{} + std::chrono::milliseconds(100'000 + now_);
+  }
   void At(int when, std::function<void()> what) {
     events_.emplace(std::max(when, now_), std::move(what));
   }
@@ -117,8 +109,8 @@
            !Is(LeaseFaultKind::kCutPeers, b);
   }
   void Violate(LeaseGuarantee guarantee, std::string what) {
-    violations_[guarantee].push_back(std::to_string(now_) + " ms: " +
-                                     std::move(what));
+    violations_[guarantee].push_back(std::to_string(now_) +
+                                     " ms: " + std::move(what));
   }
   // Runs `what` on the VM's thread: later if it is frozen, never if its life
   // is over.
@@ -132,11 +124,6 @@
   void SendHeartbeats(int vm);
   LeaseControl::Sinks SinksOf(int vm);
 
-  std::int64_t ClockOf(const Worker& worker) const {
-    return 1000 + static_cast<std::int64_t>((now_ - worker.born) * worker.rate);
-  }
-  void Settle(Worker& worker);
-  void CloseRun(Worker& worker, const std::string& task, RunEnd end);
   void AnswerWaiters(Worker& worker);
   // Calls `deliver` on the worker when the order arrives, and tells the VM.
   void SendOrder(int vm,
@@ -144,12 +131,16 @@
                  Duration timeout,
                  std::function<void(Worker&)> deliver,
                  std::function<void(OrderAnswer)> fail);
-  void Reply(int vm, int life, const std::string& worker, Duration timeout,
-             std::function<void()> answer, std::function<void()> lose);
+  void Reply(int vm,
+             int life,
+             const std::string& worker,
+             Duration timeout,
+             std::function<void()> answer,
+             std::function<void()> lose);
   OrderAnswer Begin(Worker& worker, const StartOrder& order);
-  OrderAnswer CheckToken(Worker& worker, std::uint64_t token);
-  void ExtendLease(Worker& worker, std::int64_t until);
-  HoldReport ReportOf(const Worker& worker) const;
+  // Settles the worker at a later time, and answers holds that wait.
+  void SettleAt(int when, const std::string& worker);
+  void CheckToken(const Worker& worker, std::uint64_t token);
 
   void Submit(std::size_t index);
   void RunAtOwner(std::size_t index, int owner);
@@ -166,7 +157,6 @@
   std::vector<LeaseFault> active_;
   std::vector<Vm> vms_ = std::vector<Vm>(kVms);
   std::map<std::string, Worker> workers_;
-  std::map<std::string, std::int64_t> sizes_;  // of tasks, by job
   std::vector<Job> jobs_;
   std::map<ShardId, ShardRecord> shard_rows_;
   std::map<std::string, MemberRecord> member_rows_;
