--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 
+#include "LibLease/duration_histogram.h"
 #include "LibLease/job.h"
 #include "LibLease/worker_report.h"
 
@@ -15,6 +16,9 @@
   std::array<std::uint64_t, kOrderAnswerNames.names.size()> starts{};
   std::array<std::uint64_t, kOrderAnswerNames.names.size()> holds{};
   std::array<std::uint64_t, kRunEndNames.names.size()> ends{};
+  DurationHistogram queue_time;  // of jobs, from arrival to the first start
+  DurationHistogram run_time;    // of tasks, from the order to the end
+  DurationHistogram start_time;  // of orders, until they are answered
   std::uint64_t stops = 0;
   std::uint64_t runs_vanished = 0;  // neither running nor ended
   std::uint64_t stragglers = 0;
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -193,6 +193,8 @@
                     std::to_string(index - first),
             .number = task.next_run++};
   task.state = TaskState::kLive;
+  if (!job.was_started)
+    counters_.queue_time.Observe(now - job.request.arrived);
   job.was_started = true;
   --job.waiting;
   log_.Write(LogEvent::kTaskStarted, now)
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -302,8 +302,10 @@
       .Add(LogField::kExpectedMs, run.expected);
   if (end == RunEnd::kFailed)
     DidFailOn(worker, now);
-  if (end == RunEnd::kDone)
+  if (end == RunEnd::kDone) {
     worker.judgement.DidSucceed();
+    counters_.run_time.Observe(now - run.started);
+  }
   if (job_it == jobs_.end())
     return;
   Job& job = job_it->second;
@@ -393,6 +395,8 @@
   const auto run_it = worker.runs.find(order.run.task);
   const bool is_known =
       run_it != worker.runs.end() && run_it->second.id == order.run;
+  if (is_known)
+    counters_.start_time.Observe(now - run_it->second.started);
   if (answer != OrderAnswer::kAccepted) {
     log_.Write(LogEvent::kTaskStartFailed, now)
         .Add(LogField::kTask, order.run.task)
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -375,6 +375,7 @@
                                 Time now) {
   HttpResponse response = platform::EncodeResult(result);
   ++counters_.answers[response.status];
+  counters_.request_time.Observe(now - arrived);
   control_.log()
       .Write(LogEvent::kAnswered, now)
       .Add(LogField::kJob, id)
--- a/Libraries/LibLeaseEntry/job_service.h
+++ b/Libraries/LibLeaseEntry/job_service.h
@@ -9,6 +9,7 @@
 #include "LibFiber/await.h"
 #include "LibHttp/connection_pool.h"
 #include "LibHttp/http_server.h"
+#include "LibLease/duration_histogram.h"
 #include "LibLeaseEntry/lease_control.h"
 
 namespace mustardbank {
@@ -18,6 +19,7 @@
   std::uint64_t malformed = 0;
   std::uint64_t forwards = 0;
   std::map<unsigned, std::uint64_t> answers;  // by status
+  DurationHistogram request_time;
 };
 
 class JobService {
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -178,7 +178,11 @@
     SetLogOffset();
     log_.Write(LogEvent::kStarted, BootClock::now(), LogBudget::kState)
         .Add(LogField::kVersion, incarnation_)
-        .Add(LogField::kReason, endpoints_.callers.ToString());
+        .Add(LogField::kReason,
+             "callers " + endpoints_.callers.ToString() + " readiness " +
+                 endpoints_.readiness.ToString() + " peers " +
+                 endpoints_.peers.ToString() + " metrics " +
+                 endpoints_.metrics.ToString());
     const boost::system::error_code error = datagrams_.Open(endpoints_.peers);
     if (error)
       return error;
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -42,6 +43,21 @@
         .Set(value);
   }
 
+  void Histogram(const std::string& name,
+                 const std::string& help,
+                 const DurationHistogram& histogram) {
+    const prometheus::Histogram::BucketBoundaries bounds(
+        DurationHistogram::kBoundsSeconds.begin(),
+        DurationHistogram::kBoundsSeconds.end());
+    prometheus::BuildHistogram()
+        .Name("mustardbank_" + name + "_seconds")
+        .Help(help)
+        .Register(registry_)
+        .Add({}, bounds)
+        .ObserveMultiple({histogram.buckets.begin(), histogram.buckets.end()},
+                         histogram.sum_seconds);
+  }
+
   std::string Text() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
   }
@@ -80,6 +96,14 @@
                    kOrderAnswerNames, counters.holds);
   writer.CountEach("runs_ended", "Runs by their end", "end", kRunEndNames,
                    counters.ends);
+  writer.Histogram("request", "Time to the answer of a caller",
+                   jobs.counters().request_time);
+  writer.Histogram("queue", "Time of a job until its first task starts",
+                   counters.queue_time);
+  writer.Histogram("task_run", "Time of a task from its order to its end",
+                   counters.run_time);
+  writer.Histogram("start", "Time until a start order is answered",
+                   counters.start_time);
   writer.Count("stops", "Stop orders sent", counters.stops);
   writer.Count("stragglers", "Runs stopped for lack of progress",
                counters.stragglers);
--- a/Tests/Harness/child_process.cc
+++ b/Tests/Harness/child_process.cc
@@ -42,9 +42,43 @@
   if (pipe2(pipe_ends, O_CLOEXEC) != 0)
     return;
   output_ = pipe_ends[0];
+  Spawn(arguments, log, pipe_ends[1], "");
+  close(pipe_ends[1]);
+  first_line_ = ReadLine(output_, first_line_timeout);
+}
+
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments,
+                           const std::string& log,
+                           const std::string& output,
+                           std::chrono::milliseconds first_line_timeout) {
+  std::ifstream file;
+  { std::ofstream create(output, std::ios::app); }
+  file.open(output);
+  file.seekg(0, std::ios::end);
+  const std::streampos start = file.tellg();
+  Spawn(arguments, log, -1, output);
+  const auto deadline = std::chrono::steady_clock::now() + first_line_timeout;
+  while (std::chrono::steady_clock::now() < deadline) {
+    file.clear();
+    file.seekg(start);
+    if (std::getline(file, first_line_) && !file.eof())
+      return;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+void ChildProcess::Spawn(const std::vector<std::string>& arguments,
+                         const std::string& log,
+                         int output,
+                         const std::string& output_file) {
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+  if (output >= 0)
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  else
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     output_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::vector<char*> argv;
@@ -55,8 +89,6 @@
   if (posix_spawn(&id_, argv[0], &actions, nullptr, argv.data(), environ) != 0)
     id_ = -1;
   posix_spawn_file_actions_destroy(&actions);
-  close(pipe_ends[1]);
-  first_line_ = ReadLine(output_, first_line_timeout);
 }
 
 ChildProcess::~ChildProcess() {
--- a/Tests/Harness/child_process.h
+++ b/Tests/Harness/child_process.h
@@ -17,6 +17,11 @@
   ChildProcess(const std::vector<std::string>& arguments,
                const std::string& log,
                std::chrono::milliseconds first_line_timeout);
+  // The same, with its output appended to a file.
+  ChildProcess(const std::vector<std::string>& arguments,
+               const std::string& log,
+               const std::string& output,
+               std::chrono::milliseconds first_line_timeout);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
@@ -35,6 +40,12 @@
   std::size_t resident_bytes() const;
 
  private:
+  // Starts the process with its output going to `output`, or to the file.
+  void Spawn(const std::vector<std::string>& arguments,
+             const std::string& log,
+             int output,
+             const std::string& output_file);
+
   pid_t id_ = -1;
   int output_ = -1;
   std::string first_line_;
--- /dev/null
+++ b/Tests/Harness/lease_deployment.cc
@@ -0,0 +1,220 @@
+#include "Harness/lease_deployment.h"
+
+#include <unistd.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "LibFiber/fiber_thread.h"
+#include "LibFiber/run_in_fiber.h"
+#include "LibHttp/http_client.h"
+
+namespace json = boost::json;
+
+namespace mustardbank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStartTimeout{10'000};
+constexpr milliseconds kAdminTimeout{5000};
+
+FiberThread& ClientThread() {
+  static FiberThread thread;
+  return thread;
+}
+
+HttpResult<HttpResponse> Exchange(Endpoint endpoint,
+                                  const HttpRequest& request,
+                                  milliseconds timeout) {
+  return RunInFiber(ClientThread(), [&] {
+    return ExchangeOnce(ClientThread().io(), endpoint, request, timeout);
+  });
+}
+
+// The endpoint that follows `name` in the line that tells of the start.
+Endpoint EndpointAfter(const std::string& line, const std::string& name) {
+  const std::size_t at = line.find(name + ' ');
+  if (at == std::string::npos)
+    return {};
+  std::istringstream rest(line.substr(at + name.size() + 1));
+  std::string text;
+  rest >> text;
+  if (text.ends_with('"'))
+    text.pop_back();
+  return Endpoint::Parse(text).value_or(Endpoint{});
+}
+
+}  // namespace
+
+LeaseDeployment::LeaseDeployment(LeaseDeploymentOptions options)
+    : options_(std::move(options)),
+      entries_(options_.entries),
+      callers_(options_.entries),
+      readiness_(options_.entries),
+      metrics_(options_.entries) {
+  char folder[] = "/tmp/mustardbank-lease-XXXXXX";
+  folder_ = ::mkdtemp(folder);
+  std::ofstream(folder_ + "/plan.json") << json::serialize(
+      json::object{{"workers", options_.workers},
+                   {"data_centers", json::value_from(options_.data_centers)},
+                   {"millicores", options_.millicores},
+                   {"log", folder_ + "/starts"}});
+  platform_ = std::make_unique<ChildProcess>(
+      std::vector<std::string>{MUSTARDBANK_USERS_PLATFORM,
+                               folder_ + "/plan.json"},
+      folder_ + "/platform.err", kStartTimeout);
+  store_ = Endpoint::Parse(platform_->first_line()).value_or(Endpoint{});
+  PutConfiguration(1, {"/jobs/"});
+  for (int i = 0; i < options_.entries; ++i)
+    StartEntry(i);
+}
+
+LeaseDeployment::~LeaseDeployment() = default;
+
+std::string LeaseDeployment::EntryLog(int entry) const {
+  return folder_ + "/entry" + std::to_string(entry) + ".log";
+}
+
+void LeaseDeployment::StartEntry(int index) {
+  const std::string name = "entry" + std::to_string(index);
+  const std::string file = folder_ + '/' + name + ".json";
+  std::ofstream(file) << json::serialize(json::object{
+      {"name", name},
+      {"data_center",
+       options_.data_centers[index % options_.data_centers.size()]},
+      {"callers", "127.0.0.1:0"},
+      {"readiness", "127.0.0.1:0"},
+      {"ip", "127.0.0.1"},
+      {"peer_port", 0},
+      {"metrics_port", 0},
+      {"store", store_.ToString()},
+      {"log_lines_per_second", 100'000}});
+  entries_[index].reset();
+  entries_[index] = std::make_unique<ChildProcess>(
+      std::vector<std::string>{MUSTARDBANK_BINARY, "lease-entry", file},
+      folder_ + '/' + name + ".err", EntryLog(index), kStartTimeout);
+  const std::string& line = entries_[index]->first_line();
+  callers_[index] = EndpointAfter(line, "\"callers");
+  if (callers_[index].port == 0)
+    callers_[index] = EndpointAfter(line, "callers");
+  readiness_[index] = EndpointAfter(line, "readiness");
+  metrics_[index] = EndpointAfter(line, "metrics");
+}
+
+bool LeaseDeployment::WaitUntilReady(milliseconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  for (const Endpoint endpoint : readiness_) {
+    while (true) {
+      const auto response = Exchange(
+          endpoint, {.method = "GET", .target = "/"}, milliseconds(500));
+      if (response && response->status == 200)
+        break;
+      if (std::chrono::steady_clock::now() > end)
+        return false;
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+  return true;
+}
+
+CallerAnswer LeaseDeployment::Call(int entry,
+                                   const HttpRequest& request,
+                                   milliseconds patience) const {
+  const auto response = Exchange(callers_[entry], request, patience);
+  if (!response)
+    return {};
+  return {.status = response->status,
+          .body = response->body,
+          .retry_after = std::string(response->header("Retry-After"))};
+}
+
+CallerAnswer LeaseDeployment::Submit(int entry,
+                                     const std::string& id,
+                                     int tasks,
+                                     int millicores,
+                                     int run_ms,
+                                     milliseconds patience,
+                                     const std::string& outcome) const {
+  const json::object step{{"count", tasks},
+                          {"cpu", millicores},
+                          {"memMb", 16},
+                          {"estimateMs", run_ms}};
+  const json::object job{
+      {"spec", std::to_string(millicores) + ' ' + std::to_string(run_ms) +
+                   (outcome.empty() ? "" : ' ' + outcome)},
+      {"bestEffort", true},
+      {"steps", json::array{step}}};
+  return Call(entry,
+              {.method = "POST",
+               .target = "/jobs/" + id,
+               .headers = {{"Host", "host"},
+                           {"X-Mustardbank-Deadline-Ms",
+                            std::to_string(patience.count())}},
+               .body = json::serialize(job)},
+              patience + milliseconds(200));
+}
+
+std::string LeaseDeployment::Scrape(int entry) const {
+  const auto response = Exchange(
+      metrics_[entry], {.method = "GET", .target = "/metrics"}, kAdminTimeout);
+  return response ? response->body : "";
+}
+
+void LeaseDeployment::Admin(const json::object& order) const {
+  const auto done = Exchange(store_,
+                             {.method = "POST",
+                              .target = "/admin",
+                              .body = json::serialize(order)},
+                             kAdminTimeout);
+  static_cast<void>(done);
+}
+
+void LeaseDeployment::PutConfiguration(
+    std::uint64_t version,
+    const std::vector<std::string>& prefixes) const {
+  json::array routes;
+  for (const std::string& prefix : prefixes)
+    routes.push_back(json::object{{"name", "queue" + prefix},
+                                  {"host", "host"},
+                                  {"pathPrefix", prefix},
+                                  {"type", "non_idempotent"},
+                                  {"timeoutMs", 1500},
+                                  {"targetLatencyMs", 200},
+                                  {"priority", 0},
+                                  {"service", "guide"},
+                                  {"attempts", 2},
+                                  {"stretch", 3.0}});
+  Admin({{"configuration",
+          json::object{{"version", version}, {"routes", std::move(routes)}}}});
+}
+
+std::vector<std::string> LeaseDeployment::Violations() const {
+  std::vector<std::string> violations;
+  std::ifstream file(folder_ + "/starts");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with("VIOLATION"))
+      violations.push_back(line);
+  }
+  return violations;
+}
+
+int LeaseDeployment::StartsOf(const std::string& job) const {
+  int starts = 0;
+  std::ifstream file(folder_ + "/starts");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with("start") &&
+        line.find(' ' + job + '.') != std::string::npos)
+      ++starts;
+  }
+  return starts;
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -0,0 +1,197 @@
+// Lease entry processes against the stand-in of the users' platform.
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <thread>
+
+#include "Harness/lease_deployment.h"
+
+namespace mustardbank {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kReady{10'000};
+constexpr milliseconds kPatience{5000};
+
+std::string IdOf(int number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016x", number);
+  return text;
+}
+
+}  // namespace
+
+// NOLINTNEXTLINE(readability-identifier-naming)
+TEST_GROUP(LeaseProcess) {
+  LeaseDeployment deployment{{}};
+
+  void setup() override {
+    CHECK(deployment.WaitUntilReady(kReady));
+  }
+  void teardown() override {
+    for (const std::string& line : deployment.Violations())
+      FAIL(line.c_str());
+  }
+
+  HttpRequest Post(const std::string& path, const std::string& body) {
+    return {.method = "POST",
+            .target = path,
+            .headers = {{"Host", "host"}},
+            .body = body};
+  }
+};
+
+TEST(LeaseProcess, job_is_answered_by_any_entry) {
+  for (int entry = 0; entry < deployment.entry_count(); ++entry) {
+    const CallerAnswer answer = deployment.Submit(entry, IdOf(entry), 3, 20'000,
+                                                  50, kPatience);
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(std::string(R"({"state":"succeeded"})"), answer.body);
+    CHECK_EQUAL(3, deployment.StartsOf(IdOf(entry)));
+  }
+}
+
+TEST(LeaseProcess, task_that_fails_is_tried_as_often_as_allowed) {
+  const CallerAnswer answer =
+      deployment.Submit(0, IdOf(1), 1, 20'000, 20, kPatience, "fail");
+  CHECK_EQUAL(200, answer.status);
+  CHECK_EQUAL(std::string(R"({"state":"failed"})"), answer.body);
+  CHECK_EQUAL(2, deployment.StartsOf(IdOf(1)));
+}
+
+TEST(LeaseProcess, job_that_never_fits_is_refused_at_once) {
+  const CallerAnswer answer =
+      deployment.Submit(0, IdOf(1), 1, 100'000, 20, kPatience);
+  CHECK_EQUAL(503, answer.status);
+  CHECK(!answer.retry_after.empty());
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(1)));
+}
+
+TEST(LeaseProcess, malformed_bodies_disturb_nothing_else) {
+  const std::string path = "/jobs/" + IdOf(1);
+  for (const std::string& body :
+       {std::string("{"), std::string("[]"), std::string(R"({"spec":"x"})"),
+        std::string(R"({"spec":"x","bestEffort":true,"steps":[]})"),
+        std::string(R"({"spec":"x","bestEffort":true,"steps":[{"count":-1}]})"),
+        std::string(
+            R"({"spec":"x","bestEffort":true,"steps":[{"count":1,"after":[0]}]})"),
+        std::string(R"({"spec":1,"bestEffort":true,"steps":[{"count":1}]})")}) {
+    const CallerAnswer answer =
+        deployment.Call(0, Post(path, body), kPatience);
+    CHECK_EQUAL(400, answer.status);
+  }
+  CHECK_EQUAL(
+      400, deployment.Call(0, Post("/jobs/xyz", "{}"), kPatience).status);
+  CHECK_EQUAL(413, deployment
+                       .Call(0, Post(path, std::string(1024 * 1024, 'x')),
+                             kPatience)
+                       .status);
+  CHECK_EQUAL(
+      200, deployment.Submit(0, IdOf(2), 1, 20'000, 20, kPatience).status);
+}
+
+TEST(LeaseProcess, what_is_not_offered_is_refused_and_not_run) {
+  for (const std::string& body :
+       {std::string(R"({"spec":"1 1","steps":[{"count":1,"cpu":1}]})"),
+        std::string(
+            R"({"spec":"1 1","bestEffort":true,"steps":[{"count":2,"gang":true}]})"),
+        std::string(
+            R"({"spec":"1 1","bestEffort":true,"repeatCount":2,"steps":[{"count":1}]})")}) {
+    const CallerAnswer answer =
+        deployment.Call(0, Post("/jobs/" + IdOf(1), body), kPatience);
+    CHECK_EQUAL(503, answer.status);
+    CHECK(!answer.retry_after.empty());
+  }
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(1)));
+}
+
+TEST(LeaseProcess, configuration_is_in_force_and_never_goes_back) {
+  const HttpRequest query{.method = "GET",
+                          .target = "/new/",
+                          .headers = {{"Host", "host"}}};
+  CHECK_EQUAL(404, deployment.Call(1, query, kPatience).status);
+  deployment.PutConfiguration(7, {"/jobs/", "/new/"});
+  unsigned status = 0;
+  for (int i = 0; i < 100 && status != 200; ++i) {
+    std::this_thread::sleep_for(milliseconds(20));
+    status = deployment.Call(1, query, kPatience).status;
+  }
+  CHECK_EQUAL(200, status);
+  deployment.PutConfiguration(6, {"/jobs/"});
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK_EQUAL(200, deployment.Call(1, query, kPatience).status);
+}
+
+TEST(LeaseProcess, entry_serves_while_the_store_is_away) {
+  deployment.Admin({{"store", "refuse"}});
+  std::this_thread::sleep_for(milliseconds(3000));
+  for (int i = 0; i < 6; ++i)
+    CHECK_EQUAL(200, deployment
+                         .Submit(i % deployment.entry_count(), IdOf(i), 2,
+                                 20'000, 50, kPatience)
+                         .status);
+}
+
+TEST(LeaseProcess, killed_owner_is_followed) {
+  deployment.entry(0).Signal(SIGKILL);
+  unsigned status = 0;
+  for (int i = 0; i < 60 && status != 200; ++i) {
+    status = deployment.Submit(1, IdOf(i), 2, 20'000, 50, kPatience).status;
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK_EQUAL(200, status);
+  deployment.StartEntry(0);
+  CHECK(deployment.WaitUntilReady(kReady));
+  CHECK_EQUAL(
+      200, deployment.Submit(0, IdOf(100), 2, 20'000, 50, kPatience).status);
+}
+
+TEST(LeaseProcess, entry_that_stops_finishes_its_jobs) {
+  std::vector<std::thread> callers;
+  std::vector<unsigned> statuses(6);
+  for (int i = 0; i < 6; ++i)
+    callers.emplace_back([this, i, &statuses] {
+      statuses[i] =
+          deployment.Submit(0, IdOf(i), 1, 20'000, 700, kPatience).status;
+    });
+  std::this_thread::sleep_for(milliseconds(200));
+  deployment.entry(0).Signal(SIGTERM);
+  for (std::thread& caller : callers)
+    caller.join();
+  for (const unsigned status : statuses)
+    CHECK_EQUAL(200, status);
+  CHECK_EQUAL(0, deployment.entry(0).Wait(milliseconds(7000)).value_or(-1));
+}
+
+TEST(LeaseProcess, silent_worker_is_passed_over) {
+  deployment.Admin({{"worker", "w0"}, {"mode", "down"}});
+  std::this_thread::sleep_for(milliseconds(1500));
+  for (int i = 0; i < 10; ++i)
+    CHECK_EQUAL(
+        200, deployment.Submit(0, IdOf(i), 1, 20'000, 30, kPatience).status);
+}
+
+TEST(LeaseProcess, worker_whose_answers_are_lost_runs_no_task_twice) {
+  deployment.Admin({{"worker", "w0"}, {"mode", "mute"}});
+  for (int i = 0; i < 10; ++i) {
+    const CallerAnswer answer = deployment.Submit(
+        i % deployment.entry_count(), IdOf(i), 4, 20'000, 100, kPatience);
+    CHECK(answer.status != 0);
+  }
+}
+
+TEST(LeaseProcess, metrics_tell_of_answers) {
+  deployment.Submit(0, IdOf(1), 1, 20'000, 20, kPatience);
+  deployment.Submit(0, IdOf(2), 1, 100'000, 20, kPatience);
+  const std::string text = deployment.Scrape(0);
+  CHECK(text.find("mustardbank_answers_total{status=\"200\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("mustardbank_answers_total{status=\"503\"} 1") !=
+        std::string::npos);
+  CHECK(text.find("mustardbank_request_seconds_bucket") != std::string::npos);
+  CHECK(text.find("mustardbank_configuration_version 1") != std::string::npos);
+}
+
+}  // namespace mustardbank
--- /dev/null
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -0,0 +1,418 @@
+// Stand-in for the users' platform: its transactional store with the
+// registrations of workers and the operator's configuration, and workers that
+// run tasks under leases without guarding their room.
+//
+// usage: users_platform_stand_in PLAN, a JSON file:
+//   workers, data_centers, millicores, log (file)
+// Prints the address of the store. The text that a job hands its tasks is
+// "MILLICORES RUN_MS [fail]". The log has a line for each start, and one that
+// begins with VIOLATION for a start that brings a worker over its room or that
+// runs a task beside another run of it.
+//
+// POST /admin there, an object with any of:
+//   configuration: put under the operator's key
+//   store: up, refuse, hang, or lose (answers of writes)
+//   worker: ID or "*", with mode: normal, down (nothing listens to it), mute
+//     (answers are lost), late (orders are carried out 2 s later), leave
+#include <boost/json.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <sstream>
+
+#include "Harness/worker_model.h"
+#include "LibCore/base64.h"
+#include "LibCore/boot_clock.h"
+#include "LibFiber/fiber_thread.h"
+#include "LibFiber/run_in_fiber.h"
+#include "LibHttp/http_server.h"
+
+namespace json = boost::json;
+using namespace mustardbank;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPoll{2};
+constexpr milliseconds kLate{2000};
+constexpr milliseconds kHang{20'000};
+constexpr milliseconds kStoreTime{3};
+constexpr milliseconds kBeat{1000};
+
+enum class StoreMode { kUp, kRefuse, kHang, kLose };
+constexpr EnumNames<StoreMode, 4> kStoreModes{{"up", "refuse", "hang", "lose"}};
+enum class WorkerMode { kNormal, kDown, kMute, kLate, kLeave };
+constexpr EnumNames<WorkerMode, 5> kWorkerModes{
+    {"normal", "down", "mute", "late", "leave"}};
+
+std::int64_t NowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             BootClock::now().time_since_epoch())
+      .count();
+}
+
+json::object ParseObject(const std::string& text) {
+  json::error_code error;
+  json::value value = json::parse(text, error);
+  return !error && value.is_object() ? value.get_object() : json::object();
+}
+
+HttpResponse ToResponse(unsigned status, json::object body) {
+  return {.status = status, .body = json::serialize(body)};
+}
+
+struct Row {
+  std::string value;  // as it came
+  std::uint64_t version = 0;
+  bool deleted = false;
+};
+
+class Store {
+ public:
+  StoreMode mode = StoreMode::kUp;
+
+  void Put(const std::string& table,
+           const std::string& key,
+           std::string value,
+           bool deleted = false) {
+    rows_[table][key] = {std::move(value), ++version_, deleted};
+  }
+
+  HttpResponse Serve(const HttpRequest& request) {
+    if (mode == StoreMode::kRefuse)
+      return {.status = 503};
+    if (mode == StoreMode::kHang)
+      SleepFiber(kHang);
+    SleepFiber(kStoreTime);
+    if (request.path() == "/mustardbank/rows-get")
+      return ToResponse(200, Page(std::string(request.query("table")), 0));
+    if (request.path() == "/mustardbank/rows-feed")
+      return Feed(request);
+    if (request.path() == "/mustardbank/rows-tx")
+      return Change(ParseObject(request.body));
+    return {.status = 404};
+  }
+
+ private:
+  // Live rows, or all that changed after `after`.
+  json::object Page(const std::string& table, std::uint64_t after) {
+    json::array rows;
+    for (const auto& [key, row] : rows_[table]) {
+      if (row.version <= after || (after == 0 && row.deleted))
+        continue;
+      json::object object{{"table", table},
+                          {"part", ""},
+                          {"key", key},
+                          {"value", row.value},
+                          {"rowVersion", row.version}};
+      if (row.deleted)
+        object["deleted"] = true;
+      rows.push_back(std::move(object));
+    }
+    return {{"rows", std::move(rows)},
+            {"hasMore", false},
+            {"rowVersion", version_},
+            {"nowMs", NowMs()}};
+  }
+
+  HttpResponse Feed(const HttpRequest& request) {
+    const std::uint64_t after = std::stoull(std::string(request.query("after")));
+    const std::int64_t end =
+        NowMs() + std::stoll(std::string(request.query("waitMs")));
+    const std::string table(request.query("table"));
+    while (true) {
+      json::object page = Page(table, std::max<std::uint64_t>(1, after));
+      if (!page["rows"].as_array().empty() || NowMs() >= end)
+        return ToResponse(200, std::move(page));
+      SleepFiber(kPoll);
+    }
+  }
+
+  HttpResponse Change(const json::object& body) {
+    for (const json::value& condition : body.at("precondition").as_array()) {
+      const auto& [table, key] = NameOf(condition);
+      const Row& row = rows_[table][key];
+      const std::uint64_t version = row.deleted ? 0 : row.version;
+      if (version !=
+          condition.at("rowVersion").to_number<std::uint64_t>())
+        return ToResponse(412, {{"rows", json::array()}});
+    }
+    for (const json::value& upsert : body.at("upserts").as_array()) {
+      const auto& [table, key] = NameOf(upsert);
+      Put(table, key, std::string(upsert.at("value").as_string()));
+    }
+    for (const json::value& removed : body.at("remove").as_array()) {
+      const auto& [table, key] = NameOf(removed);
+      Put(table, key, "", true);
+    }
+    if (mode == StoreMode::kLose)
+      SleepFiber(kHang);
+    return ToResponse(200, {{"rowVersion", version_}, {"nowMs", NowMs()}});
+  }
+
+  static std::pair<std::string, std::string> NameOf(const json::value& row) {
+    return {std::string(row.at("table").as_string()),
+            std::string(row.at("key").as_string())};
+  }
+
+  std::map<std::string, std::map<std::string, Row>> rows_;
+  std::uint64_t version_ = 1;
+};
+
+struct Worker {
+  std::string id;
+  std::string data_center;
+  Endpoint endpoint;
+  std::int64_t millicores = 0;
+  WorkerMode mode = WorkerMode::kNormal;
+  std::unique_ptr<WorkerModel> model;
+  std::unique_ptr<HttpServer> server;
+};
+
+class Workers {
+ public:
+  Workers(FiberThread& thread, std::string log)
+      : thread_(thread), log_(std::move(log), std::ios::app) {}
+
+  void Add(std::string id, std::string data_center, std::int64_t millicores) {
+    auto worker = std::make_unique<Worker>();
+    worker->id = std::move(id);
+    worker->data_center = std::move(data_center);
+    worker->millicores = millicores;
+    worker->model = std::make_unique<WorkerModel>(
+        WorkerModel::Options{.clock_rate = 0.99}, NowMs());
+    worker->server = std::make_unique<HttpServer>(
+        HttpServerLimits{}, [this, raw = worker.get()](HttpRequest&& request) {
+          return Serve(*raw, request);
+        });
+    worker->endpoint =
+        worker->server
+            ->Listen({&thread_}, Endpoint{.ip = 0x7F000001, .port = 0})
+            .value();
+    workers_.push_back(std::move(worker));
+  }
+
+  void SetMode(const std::string& id, WorkerMode mode) {
+    for (const auto& worker : workers_) {
+      if (id != "*" && worker->id != id)
+        continue;
+      // A worker that was down has forgotten everything.
+      if (worker->mode == WorkerMode::kDown && mode != WorkerMode::kDown)
+        worker->model = std::make_unique<WorkerModel>(
+            WorkerModel::Options{.clock_rate = 0.99}, NowMs());
+      worker->mode = mode;
+    }
+  }
+
+  void Register(Store& store) {
+    for (const auto& worker : workers_) {
+      if (worker->mode == WorkerMode::kDown) {
+        store.Put("servers", worker->id, "", true);
+        continue;
+      }
+      const json::object entry{
+          {"service", "guide"},
+          {"address", worker->endpoint.ToString()},
+          {"zone", worker->data_center},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state",
+           worker->mode == WorkerMode::kLeave ? "draining" : "ready"},
+          {"coldRemainingMs", 0},
+          {"capacity",
+           {{"cpu", worker->millicores}, {"memMb", 131072}, {"gpu", 0}}},
+          {"labels", json::array{"a"}},
+          {"born", worker->model->born() + 1},
+          {"sequence", ++sequence_}};
+      store.Put("servers", worker->id,
+                EncodeBase64(json::serialize(entry)));
+    }
+  }
+
+ private:
+  HttpResponse Serve(Worker& worker, const HttpRequest& request) {
+    if (worker.mode == WorkerMode::kDown) {
+      SleepFiber(kHang);
+      return {.status = 503};
+    }
+    if (worker.mode == WorkerMode::kLate)
+      SleepFiber(kLate);
+    HttpResponse response = Obey(worker, request);
+    if (worker.mode == WorkerMode::kMute)
+      SleepFiber(kHang);
+    return response;
+  }
+
+  HttpResponse Obey(Worker& worker, const HttpRequest& request) {
+    const json::object body = ParseObject(request.body);
+    const auto token = body.at("fencingToken").to_number<std::uint64_t>();
+    if (request.header("X-Mustardbank-Expect-Instance") != worker.id)
+      return ToResponse(421, {});
+    if (request.target == "/mustardbank/hold")
+      return Hold(worker, body, token);
+    const RunId run{std::string(body.at("task").as_string()),
+                    body.at("run").to_number<std::uint32_t>()};
+    if (request.target == "/mustardbank/run-stop")
+      return Answer(worker, worker.model->Stop(run, token, NowMs()));
+    if (request.target == "/mustardbank/run-start")
+      return Start(worker, run, body, token);
+    return {.status = 404};
+  }
+
+  HttpResponse Start(Worker& worker,
+                     const RunId& run,
+                     const json::object& body,
+                     std::uint64_t token) {
+    std::istringstream spec{std::string(body.at("spec").as_string())};
+    WorkerModel::Task task;
+    std::string outcome;
+    spec >> task.millicores >> task.run_ms >> outcome;
+    if (outcome == "fail")
+      task.end = RunEnd::kFailed;
+    worker.model->Settle(NowMs());
+    const bool was_there = worker.model->runs().contains(run.task);
+    const OrderAnswer answer = worker.model->Start(
+        run, token, body.at("deadlineMs").to_number<std::int64_t>(), task,
+        NowMs());
+    if (answer == OrderAnswer::kAccepted && !was_there)
+      Record(worker, run);
+    return Answer(worker, answer);
+  }
+
+  void Record(const Worker& worker, const RunId& run) {
+    log_ << "start " << NowMs() << ' ' << worker.id << ' ' << run.task << ' '
+         << run.number << std::endl;
+    if (worker.model->UsedMillicores() > worker.millicores)
+      log_ << "VIOLATION room " << NowMs() << ' ' << worker.id << ' '
+           << worker.model->UsedMillicores() << std::endl;
+    for (const auto& other : workers_) {
+      other->model->Settle(NowMs());
+      if (other.get() != &worker && other->mode != WorkerMode::kDown &&
+          other->model->runs().contains(run.task))
+        log_ << "VIOLATION one_run " << NowMs() << ' ' << run.task << " on "
+             << other->id << " and " << worker.id << std::endl;
+    }
+  }
+
+  HttpResponse Hold(Worker& worker,
+                    const json::object& body,
+                    std::uint64_t token) {
+    const auto number = [&body](std::string_view key) -> std::int64_t {
+      const json::value* value = body.if_contains(key);
+      return value ? value->to_number<std::int64_t>() : 0;
+    };
+    const auto acknowledged = static_cast<std::uint64_t>(number("ackedThrough"));
+    const OrderAnswer answer =
+        worker.model->Hold(token, number("deadlineMs"), acknowledged, NowMs());
+    if (answer != OrderAnswer::kAccepted)
+      return Answer(worker, answer);
+    const std::int64_t end = NowMs() + number("waitMs");
+    const std::int64_t born = worker.model->born();
+    while (worker.model->born() == born && NowMs() < end &&
+           !worker.model->HasEndsAfter(acknowledged)) {
+      SleepFiber(kPoll);
+      worker.model->Settle(NowMs());
+    }
+    return ToResponse(200, ToJson(worker.model->Report(NowMs())));
+  }
+
+  static json::object ToJson(const HoldReport& report) {
+    json::array running;
+    for (const RunningTask& task : report.running)
+      running.push_back(
+          json::array{task.run.task, task.run.number, "", task.percent});
+    json::array ended;
+    for (const EndedTask& task : report.ended)
+      ended.push_back(json::array{task.sequence, task.run.task, task.run.number,
+                                  kRunEndNames[task.end], ""});
+    return {{"clockMs", report.clock_ms},
+            {"born", report.incarnation},
+            {"running", std::move(running)},
+            {"ended", std::move(ended)}};
+  }
+
+  static HttpResponse Answer(const Worker& worker, OrderAnswer answer) {
+    json::object body{{"clockMs", worker.model->ClockAt(NowMs())}};
+    if (answer == OrderAnswer::kAccepted)
+      return ToResponse(200, std::move(body));
+    body["reason"] = answer == OrderAnswer::kFenced ? "fence"
+                     : answer == OrderAnswer::kLate ? "late"
+                                                    : "old";
+    return ToResponse(409, std::move(body));
+  }
+
+  FiberThread& thread_;
+  std::ofstream log_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::int64_t sequence_ = 0;
+};
+
+class StandIn {
+ public:
+  StandIn(FiberThread& thread, const json::object& plan)
+      : workers_(thread, std::string(plan.at("log").as_string())) {
+    const json::array& data_centers = plan.at("data_centers").as_array();
+    for (std::int64_t i = 0; i < plan.at("workers").as_int64(); ++i)
+      workers_.Add("w" + std::to_string(i),
+                   std::string(data_centers[i % data_centers.size()].as_string()),
+                   plan.at("millicores").as_int64());
+    FiberThread::SpawnHere([this] {
+      while (true) {
+        workers_.Register(store_);
+        SleepFiber(kBeat);
+      }
+    });
+  }
+
+  HttpResponse Serve(const HttpRequest& request) {
+    if (request.path() != "/admin")
+      return store_.Serve(request);
+    const json::object body = ParseObject(request.body);
+    if (const json::value* configuration = body.if_contains("configuration"))
+      store_.Put("op", "config", EncodeBase64(json::serialize(*configuration)));
+    if (const json::value* mode = body.if_contains("store"))
+      store_.mode = kStoreModes.Find(mode->as_string()).value();
+    if (const json::value* worker = body.if_contains("worker")) {
+      workers_.SetMode(std::string(worker->as_string()),
+                       kWorkerModes.Find(body.at("mode").as_string()).value());
+      workers_.Register(store_);
+    }
+    return ToResponse(200, {});
+  }
+
+ private:
+  Store store_;
+  Workers workers_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  if (argc != 2) {
+    std::cerr << "usage: users_platform_stand_in PLAN\n";
+    return 64;
+  }
+  std::ifstream file(argv[1]);
+  const json::object plan = ParseObject(
+      {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()});
+  FiberThread thread;
+  const auto stand_in = RunInFiber(
+      thread, [&] { return std::make_shared<StandIn>(thread, plan); });
+  HttpServer server(HttpServerLimits{}, [stand_in](HttpRequest&& request) {
+    return stand_in->Serve(request);
+  });
+  const auto endpoint =
+      server.Listen({&thread}, Endpoint{.ip = 0x7F000001, .port = 0});
+  std::cout << endpoint.value().ToString() << std::endl;
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::_Exit(0);
+}
