LibLease: Shard by steady counts, give shards to VMs with processors to spare

The count now waits until the number of workers is steady, VMs claim by processors a shard, and a weak owner hands its shard to a VM with far more to spare. Ruled out: rules broken (none), memory (15.8 MB), links.

--- a/Libraries/LibLease/admission.cc
+++ b/Libraries/LibLease/admission.cc
@@ -34,7 +34,8 @@
     Duration before{};
     for (const std::uint32_t earlier : group.after)
       before = std::max(before, chains[earlier]);
-    chains.push_back(before + FromMilliseconds(run_ms * LongestOf(group.count)));
+    chains.push_back(before +
+                     FromMilliseconds(run_ms * LongestOf(group.count)));
     estimate.longest_chain = std::max(estimate.longest_chain, chains.back());
   }
   estimate.objective = FromMilliseconds(
--- a/Libraries/LibLease/admission.h
+++ b/Libraries/LibLease/admission.h
@@ -19,10 +19,10 @@
 };
 
 struct JobEstimate {
-  double work = 0;            // of all tasks
-  Duration longest_chain{};   // of task run times, group after group
-  Duration objective{};       // from arrival to answer
-  Time latest_start;          // that keeps the objective
+  double work = 0;           // of all tasks
+  Duration longest_chain{};  // of task run times, group after group
+  Duration objective{};      // from arrival to answer
+  Time latest_start;         // that keeps the objective
 };
 
 // The share of a worker's room that tasks can use: a worker of 64,000
--- a/Libraries/LibLease/duration_estimator.cc
+++ b/Libraries/LibLease/duration_estimator.cc
@@ -28,10 +28,9 @@
   const Estimate& estimate = it->second;
   if (declared.count() == 0)
     return FromMilliseconds(std::exp(estimate.log_run_time));
-  return FromMilliseconds(
-      std::exp(kWeightOfDeclared *
-                   (LogMilliseconds(declared) + estimate.log_error) +
-               (1 - kWeightOfDeclared) * estimate.log_run_time));
+  return FromMilliseconds(std::exp(
+      kWeightOfDeclared * (LogMilliseconds(declared) + estimate.log_error) +
+      (1 - kWeightOfDeclared) * estimate.log_run_time));
 }
 
 void DurationEstimator::DidRun(const std::string& queue,
--- a/Libraries/LibLease/duration_histogram.h
+++ b/Libraries/LibLease/duration_histogram.h
@@ -15,8 +15,8 @@
 
   void Observe(Duration duration) {
     const double seconds = ToMilliseconds(duration) / 1000;
-    const auto bound = std::lower_bound(kBoundsSeconds.begin(),
-                                        kBoundsSeconds.end(), seconds);
+    const auto bound =
+        std::lower_bound(kBoundsSeconds.begin(), kBoundsSeconds.end(), seconds);
     ++buckets[static_cast<std::size_t>(bound - kBoundsSeconds.begin())];
     sum_seconds += seconds;
   }
--- a/Libraries/LibLease/job.h
+++ b/Libraries/LibLease/job.h
@@ -31,10 +31,10 @@
   std::uint32_t count = 0;
   Resources each;
   Duration declared_run_time{};
-  std::vector<std::uint32_t> after;  // indexes of earlier groups
-  std::string required_label;        // "" for none
-  std::string preferred_rack;        // label of the rack near the data, or ""
-  std::uint32_t most_per_worker = 0; // 0 for no limit
+  std::vector<std::uint32_t> after;   // indexes of earlier groups
+  std::string required_label;         // "" for none
+  std::string preferred_rack;         // label of the rack near the data, or ""
+  std::uint32_t most_per_worker = 0;  // 0 for no limit
 };
 
 struct JobRequest {
@@ -43,7 +43,7 @@
   std::vector<TaskGroup> groups;
   QueuePolicy policy;
   Time arrived;
-  Time deadline;  // the caller waits no longer
+  Time deadline;     // the caller waits no longer
   std::string home;  // the entry VM that answers the caller
 };
 
@@ -60,21 +60,21 @@
 enum class JobCause {
   kNone,
   kTaskFailed,
-  kNoRoom,        // the queue is longer than the job can wait
-  kWaitedTooLong, // queued past its latest useful start
-  kNeverFits,     // no worker is large enough
-  kNotOwner,      // this VM owns no workers of the service
-  kHandedOver,    // the workers go to another VM
+  kNoRoom,         // the queue is longer than the job can wait
+  kWaitedTooLong,  // queued past its latest useful start
+  kNeverFits,      // no worker is large enough
+  kNotOwner,       // this VM owns no workers of the service
+  kHandedOver,     // the workers go to another VM
   kDeadline,
   kCancelled,
   kOwnershipLost,
   kHomeSilent,
-  kUnsupported,   // asks for what is not offered
+  kUnsupported,  // asks for what is not offered
   kNoConfiguration,
   kNoQueue,
-  kOwnerSilent,   // the VM that ran the job stopped answering
-  kNoOwner,       // no VM that owns workers can be reached
-  kLeaving,       // this VM stops before the job could end
+  kOwnerSilent,  // the VM that ran the job stopped answering
+  kNoOwner,      // no VM that owns workers can be reached
+  kLeaving,      // this VM stops before the job could end
 };
 
 inline constexpr EnumNames<JobCause, 17> kJobCauseNames{
--- a/Libraries/LibLease/lease_configuration.h
+++ b/Libraries/LibLease/lease_configuration.h
@@ -12,7 +12,7 @@
 namespace mustardbank {
 
 struct QueueRoute {
-  std::string host;         // lower case, without a port
+  std::string host;  // lower case, without a port
   std::string path_prefix;
   QueuePolicy policy;
   bool needs_advice = false;  // only an adviser knows which workers may run it
--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -11,7 +11,8 @@
 namespace mustardbank {
 
 struct LeaseCounters {
-  std::array<std::uint64_t, kJobOutcomeNames.names.size()> jobs{};  // by outcome
+  std::array<std::uint64_t, kJobOutcomeNames.names.size()>
+      jobs{};  // by outcome
   std::array<std::uint64_t, kJobCauseNames.names.size()> causes{};
   std::array<std::uint64_t, kOrderAnswerNames.names.size()> starts{};
   std::array<std::uint64_t, kOrderAnswerNames.names.size()> holds{};
@@ -22,7 +23,7 @@
   std::uint64_t stops = 0;
   std::uint64_t runs_vanished = 0;  // neither running nor ended
   std::uint64_t stragglers = 0;
-  std::uint64_t exclusions = 0;     // of workers that failed tasks
+  std::uint64_t exclusions = 0;  // of workers that failed tasks
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -98,8 +98,8 @@
     JobRequest request;
     std::shared_ptr<const std::string> payload;
     JobEstimate estimate;
-    std::vector<Duration> run_times;     // expected, by group
-    std::vector<std::uint32_t> undone;   // tasks by group
+    std::vector<Duration> run_times;    // expected, by group
+    std::vector<std::uint32_t> undone;  // tasks by group
     std::vector<Task> tasks;
     std::size_t waiting = 0;
     std::size_t done = 0;
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -26,10 +26,10 @@
     job.request.deadline = request.deadline;
     if (job.request.home == request.home)
       return;
-    actions_.emplace_back(FinishJob{
-        .job = id,
-        .home = std::exchange(job.request.home, request.home),
-        .result = {JobOutcome::kGivenUp, JobCause::kCancelled, {}}});
+    actions_.emplace_back(
+        FinishJob{.job = id,
+                  .home = std::exchange(job.request.home, request.home),
+                  .result = {JobOutcome::kGivenUp, JobCause::kCancelled, {}}});
     return;
   }
   Job job{.request = std::move(request)};
@@ -65,15 +65,15 @@
 std::optional<JobResult> LeaseDispatcher::JudgeOnArrival(const Job& job,
                                                          Time now) {
   if (!CanEverFit(job)) {
-    const bool has_workers = std::any_of(
-        workers_.begin(), workers_.end(), [&](const auto& worker) {
+    const bool has_workers =
+        std::any_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
           return worker.second.entry.service == job.request.policy.service &&
                  !worker.second.entry.leaving;
         });
-    return JobResult{.outcome = JobOutcome::kRefused,
-                     .cause = has_workers ? JobCause::kNeverFits
-                                          : JobCause::kNotOwner,
-                     .retry_after = kMostRetryAfter};
+    return JobResult{
+        .outcome = JobOutcome::kRefused,
+        .cause = has_workers ? JobCause::kNeverFits : JobCause::kNotOwner,
+        .retry_after = kMostRetryAfter};
   }
   const Time end = PredictEnd(LoadAhead(job, now), job.estimate, now);
   const Time latest = std::min(job.request.arrived + job.estimate.objective,
@@ -112,8 +112,8 @@
       continue;
     const Resources room = worker.Room();
     if (group.each.FitsIn(room))
-      places += room.millicores / std::max<std::int64_t>(
-                                      1, group.each.millicores);
+      places +=
+          room.millicores / std::max<std::int64_t>(1, group.each.millicores);
   }
   return places >= group.count;
 }
@@ -126,7 +126,8 @@
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
     for (const auto& [task, run] : worker.runs) {
-      const Duration left = std::max(Duration{}, run.expected - (now - run.started));
+      const Duration left =
+          std::max(Duration{}, run.expected - (now - run.started));
       load.running_work +=
           static_cast<double>(run.size.millicores) * ToMilliseconds(left);
     }
@@ -167,11 +168,10 @@
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(
-        workers_,
-        {group, job.request.policy.service, job.request.id, task.avoided,
-         timing_},
-        now);
+    LeasedWorker* worker = ChooseWorker(workers_,
+                                        {group, job.request.policy.service,
+                                         job.request.id, task.avoided, timing_},
+                                        now);
     if (!worker)
       break;
     StartTask(job, i, *worker, now);
@@ -258,7 +258,9 @@
     Finish(job.request.id, {.outcome = JobOutcome::kSucceeded}, now);
 }
 
-void LeaseDispatcher::Finish(const std::string& id, JobResult result, Time now) {
+void LeaseDispatcher::Finish(const std::string& id,
+                             JobResult result,
+                             Time now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end())
     return;
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -82,10 +82,10 @@
   workers_.erase(it);
   for (const std::string& job : jobs) {
     if (!job.empty())
-      Finish(job,
-             {.outcome = JobOutcome::kGivenUp,
-              .cause = JobCause::kOwnershipLost},
-             now);
+      Finish(
+          job,
+          {.outcome = JobOutcome::kGivenUp, .cause = JobCause::kOwnershipLost},
+          now);
   }
 }
 
@@ -133,13 +133,14 @@
                       worker.unanswered_holds < timing_.renewals_without_answer;
   // Idle workers, and those with runs to be stopped, answer at once.
   const bool waits = !is_probe && !worker.runs.empty();
-  HoldOrder order{.target = TargetOf(worker),
-                  .number = worker.next_hold++,
-                  .lease_until_ms = renews ? worker.GrantLease(timing_, now) : 0,
-                  .acknowledged = worker.acknowledged,
-                  .wait = waits ? timing_.hold_wait : Duration{},
-                  .fresh_connection = worker.unanswered_holds > 0,
-                  .send_before = now + timing_.order_timeout};
+  HoldOrder order{
+      .target = TargetOf(worker),
+      .number = worker.next_hold++,
+      .lease_until_ms = renews ? worker.GrantLease(timing_, now) : 0,
+      .acknowledged = worker.acknowledged,
+      .wait = waits ? timing_.hold_wait : Duration{},
+      .fresh_connection = worker.unanswered_holds > 0,
+      .send_before = now + timing_.order_timeout};
   order.timeout = order.wait + timing_.order_timeout;
   worker.awaited_hold = order.number;
   actions_.emplace_back(order);
@@ -188,9 +189,9 @@
       if (!is_awaited)
         return;
       ++worker.unanswered_holds;
-      worker.hold_again = now + (worker.unanswered_holds > 1
-                                     ? timing_.probe_interval
-                                     : Duration{});
+      worker.hold_again =
+          now +
+          (worker.unanswered_holds > 1 ? timing_.probe_interval : Duration{});
       if (worker.phase == WorkerPhase::kHeld)
         SetPhase(worker, WorkerPhase::kSuspect, now);
   }
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -18,7 +18,7 @@
 enum class RunState {
   kStarting,  // ordered, not answered
   kRunning,
-  kUnknown,   // the order was not answered
+  kUnknown,  // the order was not answered
   kStopping,
 };
 
@@ -41,8 +41,8 @@
 enum class WorkerPhase {
   kUnverified,  // what runs there is not known
   kHeld,
-  kSuspect,     // orders are not answered
-  kDown,        // nothing listens at its address
+  kSuspect,  // orders are not answered
+  kDown,     // nothing listens at its address
 };
 
 inline constexpr EnumNames<WorkerPhase, 4> kWorkerPhaseNames{
@@ -58,11 +58,11 @@
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // the worker's clock at `clock_at`
   Time clock_at;
-  Time lapsed_at;  // all leases granted so far have ended by then
+  Time lapsed_at;    // all leases granted so far have ended by then
   Time answered_at;  // the last answer of any kind
   std::uint64_t next_hold = 1;
   std::uint64_t awaited_hold = 0;  // number of the hold in flight, or 0
-  Time hold_again;  // not before this time
+  Time hold_again;                 // not before this time
   int unanswered_holds = 0;
   std::uint64_t acknowledged = 0;  // ends processed
   std::uint64_t acknowledged_sent = 0;
--- a/Libraries/LibLease/orders.h
+++ b/Libraries/LibLease/orders.h
@@ -24,7 +24,7 @@
   RunId run;
   std::shared_ptr<const std::string> payload;
   std::int64_t lease_until_ms = 0;  // on the worker's clock
-  Time send_before;  // a paused process must not send it later
+  Time send_before;                 // a paused process must not send it later
   Duration timeout{};
 };
 
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -14,12 +14,21 @@
 constexpr Duration kOutsideDelay = std::chrono::milliseconds(600);
 // How long the result of a probe of a data centre holds.
 constexpr Duration kProbeValidity = std::chrono::milliseconds(1000);
+// A shard moves if it gets this many times the processors: a move costs the
+// use of workers for as long as their tasks run.
+constexpr double kBalanceFactor = 2;
+constexpr double kLeastPower = 0.01;  // cores
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 
+// The share of a VM's processors that a further shard would get.
+double ShardsPerCore(std::size_t shards, double power) {
+  return (static_cast<double>(shards) + 1) / std::max(power, kLeastPower);
+}
+
 const ShardStatus* FindStatus(const Heartbeat& heartbeat, const ShardId& id) {
-  const auto it =
-      std::find_if(heartbeat.shards.begin(), heartbeat.shards.end(),
-                   [&](const ShardStatus& status) { return status.shard == id; });
+  const auto it = std::find_if(
+      heartbeat.shards.begin(), heartbeat.shards.end(),
+      [&](const ShardStatus& status) { return status.shard == id; });
   return it == heartbeat.shards.end() ? nullptr : &*it;
 }
 
@@ -142,7 +151,8 @@
   // A VM that was never heard has been known since its record was read.
   const Time heard =
       std::max({peer.heard, peer.in_sight_since, store_regained_});
-  return now - heard > timing_.owner_silence && !IsHeardByOthers(record.owner, now);
+  return now - heard > timing_.owner_silence &&
+         !IsHeardByOthers(record.owner, now);
 }
 
 std::optional<Duration> Ownership::ClaimDelay(const ShardId& id,
@@ -155,26 +165,28 @@
       return std::nullopt;
   }
   const auto rank_of = [&](const std::string& name,
-                           const std::string& data_center,
-                           std::size_t shards) {
-    return std::tuple(data_center != id.data_center, shards,
+                           const std::string& data_center, std::size_t shards,
+                           double power) {
+    return std::tuple(data_center != id.data_center,
+                      ShardsPerCore(shards, power),
                       FastDigest(name + id.ToString()));
   };
-  const auto own_rank = rank_of(self_.name, self_.data_center, owned_.size());
-  const auto before = std::count_if(
-      peers_.begin(), peers_.end(), [&](const auto& entry) {
+  const auto own_rank =
+      rank_of(self_.name, self_.data_center, owned_.size(), self_.power);
+  const auto before =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
         const Peer& peer = entry.second;
         return IsAlive(peer, now) &&
                rank_of(entry.first, peer.record.data_center,
-                       peer.last.shards.size()) < own_rank;
+                       peer.last.shards.size(), peer.record.power) < own_rank;
       });
   return (shard.record ? Duration{} : timing_.first_claim) +
-         timing_.claim_step * before + (is_outside ? kOutsideDelay : Duration{});
+         timing_.claim_step * before +
+         (is_outside ? kOutsideDelay : Duration{});
 }
 
 void Ownership::ConsiderClaim(const ShardId& id, Shard& shard, Time now) {
-  if (leaving_ || !has_store_ || shard.claim_in_flight ||
-      owned_.contains(id))
+  if (leaving_ || !has_store_ || shard.claim_in_flight || owned_.contains(id))
     return;
   bool is_offered = false;
   if (shard.record) {
@@ -308,14 +320,33 @@
   return FindStatus(peer->second.last, id);
 }
 
+// A VM of the shard's data centre, if this one is of another, or one that has
+// far more processors to spare.
+bool Ownership::HasBetterOwner(const ShardId& id, Time now) const {
+  if (IsHandingOver())
+    return false;
+  const bool is_outside = self_.data_center != id.data_center;
+  const double own_share = ShardsPerCore(owned_.size() - 1, self_.power);
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return peer.record.data_center == id.data_center && IsAlive(peer, now) &&
+           now - peer.in_sight_since > timing_.return_delay &&
+           (is_outside ||
+            kBalanceFactor *
+                    ShardsPerCore(peer.last.shards.size(), peer.record.power) <
+                own_share);
+  });
+}
+
 std::string Ownership::ChooseSuccessor(const ShardId& id, Time now) const {
   std::string best;
-  std::tuple<bool, std::size_t, double> best_rank;
+  std::tuple<bool, double> best_rank;
   for (const auto& [name, peer] : peers_) {
     if (!IsAlive(peer, now))
       continue;
-    const std::tuple rank(peer.record.data_center != id.data_center,
-                          peer.last.shards.size(), -peer.record.power);
+    const std::tuple rank(
+        peer.record.data_center != id.data_center,
+        ShardsPerCore(peer.last.shards.size(), peer.record.power));
     if (best.empty() || rank < best_rank) {
       best = name;
       best_rank = rank;
@@ -336,15 +367,9 @@
     if (it != peers_.end() && IsAlive(it->second, now))
       return;
   }
-  const bool goes_home =
-      self_.data_center != id.data_center &&
-      std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return entry.second.record.data_center == id.data_center &&
-               IsAlive(entry.second, now) &&
-               now - entry.second.in_sight_since > timing_.return_delay;
-      });
-  owned.successor =
-      leaving_ || goes_home ? ChooseSuccessor(id, now) : std::string();
+  owned.successor = leaving_ || HasBetterOwner(id, now)
+                        ? ChooseSuccessor(id, now)
+                        : std::string();
   if (!owned.successor.empty()) {
     log_.Write(LogEvent::kShardHandedOver, now, LogBudget::kState)
         .Add(LogField::kShard, id.ToString())
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -57,6 +57,7 @@
     std::string name;
     std::string data_center;
     std::uint64_t incarnation = 0;
+    double power = 1;  // cores
   };
 
   Ownership(Self self, OwnershipTiming timing, EventLog& log)
@@ -159,13 +160,14 @@
   const ShardStatus* PredecessorStatus(const ShardId& id,
                                        const Owned& owned,
                                        Time now) const;
+  bool HasBetterOwner(const ShardId& id, Time now) const;
   std::string ChooseSuccessor(const ShardId& id, Time now) const;
   void NoteLostPeers(Time now);
 
   const Self self_;
   const OwnershipTiming timing_;
   EventLog& log_;
-  std::map<std::string, Peer> peers_;  // without this VM
+  std::map<std::string, Peer> peers_;                  // without this VM
   std::map<std::string, std::uint32_t> shard_counts_;  // by data centre
   std::map<ShardId, Shard> shards_;
   std::map<ShardId, Owned> owned_;
--- a/Libraries/LibLease/router.cc
+++ b/Libraries/LibLease/router.cc
@@ -30,11 +30,11 @@
     if (tried.contains(candidate.name))
       continue;
     const OwnerLoad& load = candidate.load;
-    const auto capacity =
-        static_cast<double>(std::max<std::int64_t>(1, load.capacity_millicores));
-    const auto room = static_cast<double>(load.free_millicores -
-                                          load.queued_millicores -
-                                          SentTo(candidate.name) - millicores);
+    const auto capacity = static_cast<double>(
+        std::max<std::int64_t>(1, load.capacity_millicores));
+    const auto room =
+        static_cast<double>(load.free_millicores - load.queued_millicores -
+                            SentTo(candidate.name) - millicores);
     // Above zero, room is as good as more room; below, less is worse.
     const double score = std::min(0.0, room / capacity) +
                          (candidate.is_near ? kNearPreference : 0);
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -61,16 +61,16 @@
 // How an order to a worker was answered.
 enum class OrderAnswer {
   kAccepted,
-  kFenced,         // a higher fencing token was used
-  kSuperseded,     // a later run of the task is known there
-  kLate,           // the order's lease had ended
+  kFenced,      // a higher fencing token was used
+  kSuperseded,  // a later run of the task is known there
+  kLate,        // the order's lease had ended
   kNoRoom,
-  kUnhealthy,      // refused; nothing was done
+  kUnhealthy,  // refused; nothing was done
   kMalformed,
-  kOtherWorker,    // another worker, or another life of it, answers there
-  kNotSent,        // no connection; nothing was done
+  kOtherWorker,        // another worker, or another life of it, answers there
+  kNotSent,            // no connection; nothing was done
   kRefusedConnection,  // nothing listens at the address
-  kNoAnswer,       // may have been carried out, or may be later
+  kNoAnswer,           // may have been carried out, or may be later
 };
 
 inline constexpr EnumNames<OrderAnswer, 11> kOrderAnswerNames{
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -149,8 +149,9 @@
 }
 
 bool JobService::MayFindOwnerSoon(Time now) const {
-  const bool verifies = control_.ownership().OwnsAny() &&
-                        control_.dispatcher().Load(now).capacity_millicores == 0;
+  const bool verifies =
+      control_.ownership().OwnsAny() &&
+      control_.dispatcher().Load(now).capacity_millicores == 0;
   return now - started_ < kStartTime || verifies ||
          control_.ownership().IsClaiming();
 }
@@ -186,8 +187,8 @@
         .Add(LogField::kPeer, owner)
         .Add(LogField::kCount, i + 1)
         .Add(LogField::kElapsedMs, now - job.arrived);
-    result = owner == control_.self().name ? RunHere(job)
-                                           : RunAt(owner, job, home);
+    result =
+        owner == control_.self().name ? RunHere(job) : RunAt(owner, job, home);
     if (result.outcome != JobOutcome::kRefused ||
         result.cause == JobCause::kWaitedTooLong ||
         result.cause == JobCause::kDeadline)
@@ -242,12 +243,14 @@
   const Time now = BootClock::now();
   const Duration timeout = job.deadline - now + kPeerAnswerSlack;
   home.connection = connection->get();
-  const HttpResult<HttpResponse> response = (*connection)->Exchange(
-      HttpRequest{.method = "POST",
-                  .target = std::string(kPeerJobs),
-                  .headers = {{"Content-Type", std::string(kJsonType)}},
-                  .body = EncodeJobRequest(job, now)},
-      std::chrono::ceil<std::chrono::milliseconds>(timeout));
+  const HttpResult<HttpResponse> response =
+      (*connection)
+          ->Exchange(
+              HttpRequest{.method = "POST",
+                          .target = std::string(kPeerJobs),
+                          .headers = {{"Content-Type", std::string(kJsonType)}},
+                          .body = EncodeJobRequest(job, now)},
+              std::chrono::ceil<std::chrono::milliseconds>(timeout));
   home.connection = nullptr;
   if (response) {
     peers_.Release(endpoint, std::move(*connection));
@@ -365,8 +368,9 @@
 }
 
 bool JobService::HasBusinessWith(const std::string& peer) const {
-  return std::any_of(home_jobs_.begin(), home_jobs_.end(),
-                     [&](const auto& job) { return job.second->owner == peer; });
+  return std::any_of(
+      home_jobs_.begin(), home_jobs_.end(),
+      [&](const auto& job) { return job.second->owner == peer; });
 }
 
 HttpResponse JobService::Answer(const std::string& id,
--- a/Libraries/LibLeaseEntry/job_service.h
+++ b/Libraries/LibLeaseEntry/job_service.h
@@ -45,7 +45,8 @@
 
  private:
   static constexpr ConnectionPool::Limits kPeerLimits{
-      .idle = 16, .connect_timeout = std::chrono::milliseconds(100)};
+      .idle = 16,
+      .connect_timeout = std::chrono::milliseconds(100)};
 
   // A job that runs on this VM's workers.
   struct PendingRun {
@@ -55,7 +56,7 @@
   // A caller's job.
   struct HomeJob {
     std::string queue;
-    std::string owner;  // where it runs
+    std::string owner;                     // where it runs
     HttpConnection* connection = nullptr;  // to that owner, if another VM
     bool is_cancelled = false;
     bool is_owner_lost = false;
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -77,11 +77,12 @@
 }
 
 bool LeaseControl::NeedsFreshWorkers() const {
-  return std::any_of(workers_.begin(), workers_.end(), [this](const auto& entry) {
-    const ShardId shard = ownership_.ShardOf(entry.id, entry.data_center);
-    return ownership_.Owns(shard) &&
-           ownership_.ClaimedAt(shard) > workers_read_at_;
-  });
+  return std::any_of(
+      workers_.begin(), workers_.end(), [this](const auto& entry) {
+        const ShardId shard = ownership_.ShardOf(entry.id, entry.data_center);
+        return ownership_.Owns(shard) &&
+               ownership_.ClaimedAt(shard) > workers_read_at_;
+      });
 }
 
 void LeaseControl::SetConfiguration(LeaseConfiguration configuration,
@@ -185,9 +186,10 @@
 std::vector<RouterCandidate> LeaseControl::Owners(Time now) const {
   std::vector<RouterCandidate> owners;
   const auto is_near = [this](const std::vector<ShardStatus>& shards) {
-    return std::any_of(shards.begin(), shards.end(), [this](const auto& status) {
-      return status.shard.data_center == self_.data_center;
-    });
+    return std::any_of(shards.begin(), shards.end(),
+                       [this](const auto& status) {
+                         return status.shard.data_center == self_.data_center;
+                       });
   };
   const auto accepts = [](const std::vector<ShardStatus>& shards) {
     return std::any_of(shards.begin(), shards.end(), [](const auto& status) {
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -71,7 +71,8 @@
         log_writer_(log_, STDOUT_FILENO),
         control_({.name = settings_.name,
                   .data_center = settings_.data_center,
-                  .incarnation = incarnation_},
+                  .incarnation = incarnation_,
+                  .power = settings_.power},
                  TimingOf(settings_),
                  log_),
         orders_(thread_.io(), control_),
@@ -96,20 +97,22 @@
                    [this](HttpRequest&& /*request*/) {
                      return HttpResponse{.status = IsReady() ? 200U : 503U};
                    }),
-        metrics_({.connections = kOperatorConnections, .body_bytes = 1024},
-                 [this](HttpRequest&& /*request*/) {
-                   return HttpResponse{
-                       .content_type =
-                           "text/plain; version=0.0.4; charset=utf-8",
-                       .body = WriteLeaseMetrics(
-                           control_, jobs_, orders_, *store_, BootClock::now())};
-                 }) {
+        metrics_(
+            {.connections = kOperatorConnections, .body_bytes = 1024},
+            [this](HttpRequest&& /*request*/) {
+              return HttpResponse{
+                  .content_type = "text/plain; version=0.0.4; charset=utf-8",
+                  .body = WriteLeaseMetrics(control_, jobs_, orders_, *store_,
+                                            BootClock::now())};
+            }) {
     control_.SetSinks(
-        {.start = [this](StartOrder&& order) { orders_.Start(std::move(order)); },
+        {.start =
+             [this](StartOrder&& order) { orders_.Start(std::move(order)); },
          .stop = [this](StopOrder&& order) { orders_.Stop(std::move(order)); },
          .hold = [this](HoldOrder&& order) { orders_.Hold(std::move(order)); },
          .finish = [this](FinishJob&& job) { jobs_.DidFinish(std::move(job)); },
-         .claim = [this](ClaimShard&& claim) { store_->Claim(std::move(claim)); },
+         .claim =
+             [this](ClaimShard&& claim) { store_->Claim(std::move(claim)); },
          .probe =
              [this](ProbeDataCenter&& probe) {
                store_->Probe(std::move(probe));
@@ -151,9 +154,8 @@
     thread_.Post([this, end] { BeginLeave(end); });
     while (BootClock::now() < end) {
       std::this_thread::sleep_for(kIdleTick);
-      const bool has_finished = RunInFiber(thread_, [this] {
-        return HasFinished();
-      });
+      const bool has_finished =
+          RunInFiber(thread_, [this] { return HasFinished(); });
       if (has_finished && BootClock::now() - began >= kLeastLeave)
         break;
     }
@@ -193,9 +195,8 @@
 
   void SetLogOffset() {
     const ClockReading clock = ClockReading::Now();
-    log_.SetWallOffset(clock.wall -
-                       std::chrono::duration_cast<milliseconds>(
-                           clock.boot.time_since_epoch()));
+    log_.SetWallOffset(clock.wall - std::chrono::duration_cast<milliseconds>(
+                                        clock.boot.time_since_epoch()));
   }
 
   void RunTicks() {
--- a/Libraries/LibLeaseEntry/order_sender.cc
+++ b/Libraries/LibLeaseEntry/order_sender.cc
@@ -8,9 +8,11 @@
 
 // A worker takes 64 connections in all.
 constexpr ConnectionPool::Limits kOrderLimits{
-    .idle = 6, .connect_timeout = std::chrono::milliseconds(80)};
+    .idle = 6,
+    .connect_timeout = std::chrono::milliseconds(80)};
 constexpr ConnectionPool::Limits kHoldLimits{
-    .idle = 2, .connect_timeout = std::chrono::milliseconds(80)};
+    .idle = 2,
+    .connect_timeout = std::chrono::milliseconds(80)};
 
 std::chrono::milliseconds ToTimeout(Duration duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
@@ -30,8 +32,10 @@
       reply = platform::DecodeOrderReply(connection.error());
     } else if (BootClock::now() <= order.send_before) {
       // The process may have been paused since the decision.
-      const HttpResult<HttpResponse> response = (*connection)->Exchange(
-          platform::EncodeStart(order), ToTimeout(order.timeout));
+      const HttpResult<HttpResponse> response =
+          (*connection)
+              ->Exchange(platform::EncodeStart(order),
+                         ToTimeout(order.timeout));
       reply = platform::DecodeOrderReply(response);
       if (response)
         pool_.Release(order.target.endpoint, std::move(*connection));
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -137,13 +137,13 @@
         .name = Text(object, "name"),
         .incarnation = Integer<std::uint64_t>(object, "incarnation"),
         .leaving = object.at("leaving").as_bool(),
-        .configuration_version = Integer<std::uint64_t>(object, "configuration"),
+        .configuration_version =
+            Integer<std::uint64_t>(object, "configuration"),
         .load = {.free_millicores = Integer<std::int64_t>(object, "free"),
                  .capacity_millicores =
                      Integer<std::int64_t>(object, "capacity"),
                  .queued_millicores = Integer<std::int64_t>(object, "queued")},
-        .hears =
-            json::value_to<std::vector<std::string>>(object.at("hears"))};
+        .hears = json::value_to<std::vector<std::string>>(object.at("hears"))};
     for (const json::value& shard : object.at("shards").as_array())
       heartbeat.shards.push_back(ToShardStatus(shard.as_object()));
     return heartbeat;
@@ -154,19 +154,19 @@
   json::array groups;
   for (const TaskGroup& group : job.groups)
     groups.push_back(ToJson(group));
-  return json::serialize(json::object{
-      {"id", job.id},
-      {"home", job.home},
-      {"payload", job.payload},
-      {"groups", std::move(groups)},
-      {"queue", job.policy.name},
-      {"service", job.policy.service},
-      {"priority", job.policy.priority},
-      {"attempts", job.policy.attempts},
-      {"stretch", job.policy.stretch},
-      {"target_us", ToMicroseconds(job.policy.target_latency)},
-      {"age_us", ToMicroseconds(now - job.arrived)},
-      {"left_us", ToMicroseconds(job.deadline - now)}});
+  return json::serialize(
+      json::object{{"id", job.id},
+                   {"home", job.home},
+                   {"payload", job.payload},
+                   {"groups", std::move(groups)},
+                   {"queue", job.policy.name},
+                   {"service", job.policy.service},
+                   {"priority", job.policy.priority},
+                   {"attempts", job.policy.attempts},
+                   {"stretch", job.policy.stretch},
+                   {"target_us", ToMicroseconds(job.policy.target_latency)},
+                   {"age_us", ToMicroseconds(now - job.arrived)},
+                   {"left_us", ToMicroseconds(job.deadline - now)}});
 }
 
 std::optional<JobRequest> DecodeJobRequest(std::string_view text, Time now) {
@@ -233,8 +233,8 @@
                            std::uint64_t incarnation) {
   return {.table = kSharedTable,
           .key = ShardKey(claim.shard),
-          .value = json::serialize(json::object{{"owner", owner},
-                                                {"incarnation", incarnation}}),
+          .value = json::serialize(
+              json::object{{"owner", owner}, {"incarnation", incarnation}}),
           .is_conditional = true,
           .expected_version = claim.expected_version};
 }
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -28,6 +28,8 @@
 constexpr int kLostAfter = 2;
 // Workers of one shard: as many as one small VM orders with ease.
 constexpr std::uint32_t kWorkersPerShard = 24;
+// At a first start workers register over a heartbeat of theirs, 1.5 s.
+constexpr Duration kSteadyCount = std::chrono::milliseconds(1900);
 constexpr int kProbedWorkers = 3;
 
 }  // namespace
@@ -101,11 +103,11 @@
                  : store_.Read(table, kCallTimeout);
     DidCall(page);
     if (!page) {
-      // Changes that are not kept any more are in the rows themselves.
+      // Changes that are not kept any more are in the rows themselves. A store
+      // that goes on forgetting is not asked in a tight loop.
       if (page.error().failure == StoreFailure::kHistoryGone)
         has_read = false;
-      else
-        SleepFiber(kRetryDelay);
+      SleepFiber(kRetryDelay);
       continue;
     }
     has_read = true;
@@ -232,16 +234,15 @@
       cache.insert(*known);
     } else {
       const auto entry = platform::DecodeWorker(row);
-      const bool was_unreadable =
-          known != cache_.end() && !known->second.entry;
+      const bool was_unreadable = known != cache_.end() && !known->second.entry;
       if (!entry && !was_unreadable) {
         control_.log()
             .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
             .Add(LogField::kWorker, row.key)
             .Add(LogField::kReason, entry.error().reason);
       }
-      cache[row.key] = {
-          row.version, entry ? std::optional(*entry) : std::nullopt};
+      cache[row.key] = {row.version,
+                        entry ? std::optional(*entry) : std::nullopt};
     }
     if (const auto& entry = cache[row.key].entry)
       workers.push_back(*entry);
@@ -250,17 +251,26 @@
   probe_wanted_ = false;
   control_.SetWorkers(std::move(workers), now);
   control_.Pump(now);
-  ReadShardCounts();
+  CountShards(now);
   return true;
 }
 
-void StoreLoop::ReadShardCounts() {
+void StoreLoop::CountShards(Time now) {
   std::map<std::string, std::uint32_t> workers;
   for (const WorkerEntry& entry : control_.workers())
     ++workers[entry.data_center];
   for (const auto& [data_center, count] : workers) {
     if (control_.ownership().ShardCount(data_center) > 0)
       continue;
+    WorkerCount& counted = uncounted_[data_center];
+    if (counted.workers != count) {
+      counted = {.workers = count, .since = now};
+      continue;
+    }
+    if (now - counted.since < kSteadyCount)
+      continue;
+    // FIXME: A data centre that grows to several times its workers keeps its
+    // shards; owners would have to claim anew for higher tokens.
     const ShardCountRecord record{
         .data_center = data_center,
         .count = (count + kWorkersPerShard - 1) / kWorkersPerShard};
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -41,7 +41,8 @@
   bool ReadWorkersOnce();
   bool NeedsWorkers(Time now) const;
   void AnnounceMember();
-  void ReadShardCounts();
+  // Sets the number of shards of data centres that have none yet.
+  void CountShards(Time now);
   void ReadOperatorNow();
 
   // Reads a table, then follows its changes, handing rows to `apply`.
@@ -71,6 +72,12 @@
     std::optional<WorkerEntry> entry;
   };
   std::map<std::string, CachedWorker> cache_;
+  // Workers of data centres without shards, and since when there are so many.
+  struct WorkerCount {
+    std::uint32_t workers = 0;
+    Time since;
+  };
+  std::map<std::string, WorkerCount> uncounted_;
   bool probe_wanted_ = false;
 };
 
--- a/Tests/Harness/lease_deployment.cc
+++ b/Tests/Harness/lease_deployment.cc
@@ -111,8 +111,8 @@
   const auto end = std::chrono::steady_clock::now() + timeout;
   for (const Endpoint endpoint : readiness_) {
     while (true) {
-      const auto response = Exchange(
-          endpoint, {.method = "GET", .target = "/"}, milliseconds(500));
+      const auto response = Exchange(endpoint, {.method = "GET", .target = "/"},
+                                     milliseconds(500));
       if (response && response->status == 200)
         break;
       if (std::chrono::steady_clock::now() > end)
@@ -167,11 +167,10 @@
 }
 
 void LeaseDeployment::Admin(const json::object& order) const {
-  const auto done = Exchange(store_,
-                             {.method = "POST",
-                              .target = "/admin",
-                              .body = json::serialize(order)},
-                             kAdminTimeout);
+  const auto done = Exchange(
+      store_,
+      {.method = "POST", .target = "/admin", .body = json::serialize(order)},
+      kAdminTimeout);
   static_cast<void>(done);
 }
 
--- a/Tests/LibLease/admission_test.cc
+++ b/Tests/LibLease/admission_test.cc
@@ -33,15 +33,13 @@
 }
 
 TEST(Admission, free_workers_start_a_job_at_once) {
-  const JobEstimate estimate =
-      Estimate(MakeJob("job", now), milliseconds(100));
+  const JobEstimate estimate = Estimate(MakeJob("job", now), milliseconds(100));
   CHECK(PredictEnd({.fits_now = true}, estimate, now) ==
         now + milliseconds(100));
 }
 
 TEST(Admission, work_ahead_delays_the_end) {
-  const JobEstimate estimate =
-      Estimate(MakeJob("job", now), milliseconds(100));
+  const JobEstimate estimate = Estimate(MakeJob("job", now), milliseconds(100));
   const AdmissionLoad load{.capacity = 64'000,
                            .running_work = 64'000.0 * 100,
                            .queued_work = 64'000.0 * 200};
@@ -49,8 +47,7 @@
 }
 
 TEST(Admission, no_workers_no_end) {
-  const JobEstimate estimate =
-      Estimate(MakeJob("job", now), milliseconds(100));
+  const JobEstimate estimate = Estimate(MakeJob("job", now), milliseconds(100));
   CHECK(PredictEnd({}, estimate, now) == Time::max());
 }
 
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -73,9 +73,9 @@
 TEST(LeaseDispatcher, refused_connection_does_not_end_runs) {
   fixture.OwnVerified(MakeWorker("a"));
   fixture.OwnVerified(MakeWorker("b"));
-  fixture.Submit(MakeJob("job", fixture.now,
-                         {.run_time = milliseconds(900),
-                          .patience = milliseconds(5000)}));
+  fixture.Submit(
+      MakeJob("job", fixture.now,
+              {.run_time = milliseconds(900), .patience = milliseconds(5000)}));
   const std::string worker = fixture.starts[0].target.worker;
   fixture.AnswerStarts(OrderAnswer::kAccepted);
   fixture.FailHolds(worker, OrderAnswer::kRefusedConnection);
--- a/Tests/LibLease/lease_fixture.h
+++ b/Tests/LibLease/lease_fixture.h
@@ -34,20 +34,20 @@
 inline JobRequest MakeJob(const std::string& id,
                           Time now,
                           const JobPlanOptions& options = {}) {
-  return {.id = id,
-          .payload = "payload of " + id,
-          .groups = {{.count = options.tasks,
-                      .each = {.millicores = options.millicores,
-                               .memory_mb = 64},
-                      .declared_run_time = options.run_time}},
-          .policy = {.name = "queue",
-                     .service = "guide",
-                     .attempts = options.attempts,
-                     .stretch = options.stretch,
-                     .target_latency = options.target},
-          .arrived = now,
-          .deadline = now + options.patience,
-          .home = "home"};
+  return {
+      .id = id,
+      .payload = "payload of " + id,
+      .groups = {{.count = options.tasks,
+                  .each = {.millicores = options.millicores, .memory_mb = 64},
+                  .declared_run_time = options.run_time}},
+      .policy = {.name = "queue",
+                 .service = "guide",
+                 .attempts = options.attempts,
+                 .stretch = options.stretch,
+                 .target_latency = options.target},
+      .arrived = now,
+      .deadline = now + options.patience,
+      .home = "home"};
 }
 
 class LeaseFixture {
@@ -85,9 +85,10 @@
   // Answers all holds in flight with the same lists of runs.
   void AnswerHolds(HoldReport report) {
     report.incarnation = 1;
-    report.clock_ms = 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 now.time_since_epoch())
-                                 .count();
+    report.clock_ms =
+        1000 + std::chrono::duration_cast<std::chrono::milliseconds>(
+                   now.time_since_epoch())
+                   .count();
     for (const HoldOrder& hold : std::exchange(holds, {}))
       dispatcher.DidHold(hold, OrderAnswer::kAccepted, report, now);
     Pump();
--- a/Tests/LibLease/ownership_test.cc
+++ b/Tests/LibLease/ownership_test.cc
@@ -83,11 +83,9 @@
 TEST(Ownership, claim_seen_in_the_feed_leaves_busy_workers_alone) {
   OfferShard({"worker"});
   const auto claims = ownership.TakeClaims();
-  ownership.DidReadShard({.shard = kShard,
-                          .owner = "self",
-                          .owner_incarnation = 5,
-                          .version = 12},
-                         now);
+  ownership.DidReadShard(
+      {.shard = kShard, .owner = "self", .owner_incarnation = 5, .version = 12},
+      now);
   CHECK(ownership.Owns(kShard));
   CHECK(!ownership.TokenFor("worker", "rif", now));
   ownership.DidClaim(claims.at(0), 12, now);
@@ -109,8 +107,8 @@
                     now);
   for (int i = 0; i < 30; ++i) {
     now += milliseconds(100);
-    ownership.DidHear(
-        {.name = "witness", .incarnation = 4, .hears = {"owner"}}, now);
+    ownership.DidHear({.name = "witness", .incarnation = 4, .hears = {"owner"}},
+                      now);
     ownership.Tick(now);
     CHECK(ownership.TakeClaims().empty());
   }
@@ -190,13 +188,54 @@
   CHECK_EQUAL(1, ownership.TakeClaims().size());
 }
 
+TEST(Ownership, vm_with_more_processors_claims_first) {
+  ownership.SetShardCount("rif", 1);
+  MemberRecord strong = MakeMember("strong", 3);
+  strong.power = 4;
+  ownership.DidReadMember(strong, now);
+  ownership.DidHear({.name = "strong", .incarnation = 3}, now);
+  ownership.Tick(now);
+  now += milliseconds(700);
+  ownership.DidHear({.name = "strong", .incarnation = 3}, now);
+  ownership.Tick(now);
+  CHECK(ownership.TakeClaims().empty());
+  now += milliseconds(300);
+  ownership.Tick(now);
+  CHECK_EQUAL(1, ownership.TakeClaims().size());
+}
+
+// A weak VM that took a shard over gives it up to a stronger one.
+TEST(Ownership, shard_moves_to_a_vm_with_far_more_processors_to_spare) {
+  ownership.SetShardCount("rif", 1);
+  ownership.Tick(now);
+  now += milliseconds(700);
+  ownership.Tick(now);
+  ownership.DidClaim(ownership.TakeClaims().at(0), 12, now);
+  MemberRecord equal = MakeMember("equal", 3);
+  MemberRecord strong = MakeMember("strong", 3);
+  strong.power = 4;
+  ownership.DidReadMember(equal, now);
+  ownership.DidReadMember(strong, now);
+  for (int i = 0; i < 10; ++i) {
+    now += milliseconds(100);
+    ownership.DidHear({.name = "equal", .incarnation = 3}, now);
+    ownership.Tick(now);
+    CHECK(!ownership.IsReleasing(kShard));
+  }
+  for (int i = 0; i < 10; ++i) {
+    now += milliseconds(100);
+    ownership.DidHear({.name = "strong", .incarnation = 3}, now);
+    ownership.Tick(now);
+  }
+  CHECK_EQUAL("strong",
+              ownership.MakeHeartbeat({}, 0, now).shards.at(0).successor);
+}
+
 TEST(Ownership, earlier_life_of_this_vm_is_followed_at_once) {
   ownership.SetShardCount("rif", 1);
-  ownership.DidReadShard({.shard = kShard,
-                          .owner = "self",
-                          .owner_incarnation = 4,
-                          .version = 10},
-                         now);
+  ownership.DidReadShard(
+      {.shard = kShard, .owner = "self", .owner_incarnation = 4, .version = 10},
+      now);
   ownership.Tick(now);
   CHECK_EQUAL(1, ownership.TakeClaims().size());
 }
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -45,8 +45,8 @@
 
 TEST(LeaseProcess, job_is_answered_by_any_entry) {
   for (int entry = 0; entry < deployment.entry_count(); ++entry) {
-    const CallerAnswer answer = deployment.Submit(entry, IdOf(entry), 3, 20'000,
-                                                  50, kPatience);
+    const CallerAnswer answer =
+        deployment.Submit(entry, IdOf(entry), 3, 20'000, 50, kPatience);
     CHECK_EQUAL(200, answer.status);
     CHECK_EQUAL(std::string(R"({"state":"succeeded"})"), answer.body);
     CHECK_EQUAL(3, deployment.StartsOf(IdOf(entry)));
@@ -71,34 +71,35 @@
 
 TEST(LeaseProcess, malformed_bodies_disturb_nothing_else) {
   const std::string path = "/jobs/" + IdOf(1);
-  for (const std::string& body :
-       {std::string("{"), std::string("[]"), std::string(R"({"spec":"x"})"),
-        std::string(R"({"spec":"x","bestEffort":true,"steps":[]})"),
-        std::string(R"({"spec":"x","bestEffort":true,"steps":[{"count":-1}]})"),
-        std::string(
-            R"({"spec":"x","bestEffort":true,"steps":[{"count":1,"after":[0]}]})"),
-        std::string(R"({"spec":1,"bestEffort":true,"steps":[{"count":1}]})")}) {
-    const CallerAnswer answer =
-        deployment.Call(0, Post(path, body), kPatience);
+  for (
+      const std::string& body :
+      {std::string("{"), std::string("[]"), std::string(R"({"spec":"x"})"),
+       std::string(R"({"spec":"x","bestEffort":true,"steps":[]})"),
+       std::string(R"({"spec":"x","bestEffort":true,"steps":[{"count":-1}]})"),
+       std::string(
+           R"({"spec":"x","bestEffort":true,"steps":[{"count":1,"after":[0]}]})"),
+       std::string(R"({"spec":1,"bestEffort":true,"steps":[{"count":1}]})")}) {
+    const CallerAnswer answer = deployment.Call(0, Post(path, body), kPatience);
     CHECK_EQUAL(400, answer.status);
   }
+  CHECK_EQUAL(400,
+              deployment.Call(0, Post("/jobs/xyz", "{}"), kPatience).status);
   CHECK_EQUAL(
-      400, deployment.Call(0, Post("/jobs/xyz", "{}"), kPatience).status);
-  CHECK_EQUAL(413, deployment
-                       .Call(0, Post(path, std::string(1024 * 1024, 'x')),
-                             kPatience)
-                       .status);
-  CHECK_EQUAL(
-      200, deployment.Submit(0, IdOf(2), 1, 20'000, 20, kPatience).status);
+      413,
+      deployment.Call(0, Post(path, std::string(1024 * 1024, 'x')), kPatience)
+          .status);
+  CHECK_EQUAL(200,
+              deployment.Submit(0, IdOf(2), 1, 20'000, 20, kPatience).status);
 }
 
 TEST(LeaseProcess, what_is_not_offered_is_refused_and_not_run) {
-  for (const std::string& body :
-       {std::string(R"({"spec":"1 1","steps":[{"count":1,"cpu":1}]})"),
-        std::string(
-            R"({"spec":"1 1","bestEffort":true,"steps":[{"count":2,"gang":true}]})"),
-        std::string(
-            R"({"spec":"1 1","bestEffort":true,"repeatCount":2,"steps":[{"count":1}]})")}) {
+  for (
+      const std::string& body :
+      {std::string(R"({"spec":"1 1","steps":[{"count":1,"cpu":1}]})"),
+       std::string(
+           R"({"spec":"1 1","bestEffort":true,"steps":[{"count":2,"gang":true}]})"),
+       std::string(
+           R"({"spec":"1 1","bestEffort":true,"repeatCount":2,"steps":[{"count":1}]})")}) {
     const CallerAnswer answer =
         deployment.Call(0, Post("/jobs/" + IdOf(1), body), kPatience);
     CHECK_EQUAL(503, answer.status);
@@ -108,9 +109,8 @@
 }
 
 TEST(LeaseProcess, configuration_is_in_force_and_never_goes_back) {
-  const HttpRequest query{.method = "GET",
-                          .target = "/new/",
-                          .headers = {{"Host", "host"}}};
+  const HttpRequest query{
+      .method = "GET", .target = "/new/", .headers = {{"Host", "host"}}};
   CHECK_EQUAL(404, deployment.Call(1, query, kPatience).status);
   deployment.PutConfiguration(7, {"/jobs/", "/new/"});
   unsigned status = 0;
@@ -144,8 +144,8 @@
   CHECK_EQUAL(200, status);
   deployment.StartEntry(0);
   CHECK(deployment.WaitUntilReady(kReady));
-  CHECK_EQUAL(
-      200, deployment.Submit(0, IdOf(100), 2, 20'000, 50, kPatience).status);
+  CHECK_EQUAL(200,
+              deployment.Submit(0, IdOf(100), 2, 20'000, 50, kPatience).status);
 }
 
 TEST(LeaseProcess, entry_that_stops_finishes_its_jobs) {
@@ -169,8 +169,8 @@
   deployment.Admin({{"worker", "w0"}, {"mode", "down"}});
   std::this_thread::sleep_for(milliseconds(1500));
   for (int i = 0; i < 10; ++i)
-    CHECK_EQUAL(
-        200, deployment.Submit(0, IdOf(i), 1, 20'000, 30, kPatience).status);
+    CHECK_EQUAL(200,
+                deployment.Submit(0, IdOf(i), 1, 20'000, 30, kPatience).status);
 }
 
 TEST(LeaseProcess, worker_whose_answers_are_lost_runs_no_task_twice) {
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -119,7 +119,8 @@
   }
 
   HttpResponse Feed(const HttpRequest& request) {
-    const std::uint64_t after = std::stoull(std::string(request.query("after")));
+    const std::uint64_t after =
+        std::stoull(std::string(request.query("after")));
     const std::int64_t end =
         NowMs() + std::stoll(std::string(request.query("waitMs")));
     const std::string table(request.query("table"));
@@ -136,8 +137,7 @@
       const auto& [table, key] = NameOf(condition);
       const Row& row = rows_[table][key];
       const std::uint64_t version = row.deleted ? 0 : row.version;
-      if (version !=
-          condition.at("rowVersion").to_number<std::uint64_t>())
+      if (version != condition.at("rowVersion").to_number<std::uint64_t>())
         return ToResponse(412, {{"rows", json::array()}});
     }
     for (const json::value& upsert : body.at("upserts").as_array()) {
@@ -219,16 +219,14 @@
           {"zone", worker->data_center},
           {"version", "v1"},
           {"slots", 8},
-          {"state",
-           worker->mode == WorkerMode::kLeave ? "draining" : "ready"},
+          {"state", worker->mode == WorkerMode::kLeave ? "draining" : "ready"},
           {"coldRemainingMs", 0},
           {"capacity",
            {{"cpu", worker->millicores}, {"memMb", 131072}, {"gpu", 0}}},
           {"labels", json::array{"a"}},
           {"born", worker->model->born() + 1},
           {"sequence", ++sequence_}};
-      store.Put("servers", worker->id,
-                EncodeBase64(json::serialize(entry)));
+      store.Put("servers", worker->id, EncodeBase64(json::serialize(entry)));
     }
   }
 
@@ -304,7 +302,8 @@
       const json::value* value = body.if_contains(key);
       return value ? value->to_number<std::int64_t>() : 0;
     };
-    const auto acknowledged = static_cast<std::uint64_t>(number("ackedThrough"));
+    const auto acknowledged =
+        static_cast<std::uint64_t>(number("ackedThrough"));
     const OrderAnswer answer =
         worker.model->Hold(token, number("deadlineMs"), acknowledged, NowMs());
     if (answer != OrderAnswer::kAccepted)
@@ -356,9 +355,10 @@
       : workers_(thread, std::string(plan.at("log").as_string())) {
     const json::array& data_centers = plan.at("data_centers").as_array();
     for (std::int64_t i = 0; i < plan.at("workers").as_int64(); ++i)
-      workers_.Add("w" + std::to_string(i),
-                   std::string(data_centers[i % data_centers.size()].as_string()),
-                   plan.at("millicores").as_int64());
+      workers_.Add(
+          "w" + std::to_string(i),
+          std::string(data_centers[i % data_centers.size()].as_string()),
+          plan.at("millicores").as_int64());
     FiberThread::SpawnHere([this] {
       while (true) {
         workers_.Register(store_);
