--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -77,6 +77,19 @@
                static_cast<double>(dispatcher.queued_jobs()));
 }
 
+void WritePeers(MetricsWriter& writer, const LeaseControl& control, Time now) {
+  double alive = 0;
+  for (const auto& [name, peer] : control.ownership().peers())
+    alive += control.ownership().IsAlive(peer, now) ? 1 : 0;
+  writer.Gauge("peers_known", "Entry VMs in the platform's store",
+               static_cast<double>(control.ownership().peers().size()));
+  writer.Gauge("peers_alive", "Entry VMs that were heard lately", alive);
+  writer.Gauge("owners_reachable", "VMs that a job can be sent to",
+               static_cast<double>(control.Owners(now).size()));
+  writer.Gauge("workers_list_age_seconds", "Age of the list of workers",
+               ToMilliseconds(now - control.workers_read_at()) / 1000);
+}
+
 }  // namespace
 
 std::string WriteLeaseMetrics(LeaseControl& control,
@@ -125,6 +138,7 @@
   writer.Gauge("configuration_version", "Version of the configuration in force",
                static_cast<double>(control.configuration().version));
   WriteOwner(writer, control, now);
+  WritePeers(writer, control, now);
   return writer.Text();
 }
 
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -218,14 +218,17 @@
   return std::string(kShardCountPrefix) + data_center;
 }
 
-RowChange EncodeMember(const MemberRecord& member) {
+RowChange EncodeMember(const MemberRecord& member,
+                       std::uint64_t expected_version) {
   return {.table = kSharedTable,
           .key = MemberKey(member.name),
           .value = json::serialize(
               json::object{{"data_center", member.data_center},
                            {"endpoint", member.endpoint.ToString()},
                            {"incarnation", member.incarnation},
-                           {"power", member.power}})};
+                           {"power", member.power}}),
+          .is_conditional = true,
+          .expected_version = expected_version};
 }
 
 RowChange EncodeShardClaim(const ClaimShard& claim,
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -35,7 +35,10 @@
 std::string ShardKey(const ShardId& shard);
 std::string ShardCountKey(const std::string& data_center);
 
-RowChange EncodeMember(const MemberRecord& member);
+// Applies only over the version that this VM knows of: a change of an earlier
+// life may be carried out seconds late.
+RowChange EncodeMember(const MemberRecord& member,
+                       std::uint64_t expected_version);
 RowChange EncodeShardClaim(const ClaimShard& claim,
                            const std::string& owner,
                            std::uint64_t incarnation);
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -45,11 +45,9 @@
       orders_(orders) {}
 
 void StoreLoop::Start() {
+  answered_at_ = BootClock::now();
   fibers_.Run([this] { FollowOperator(); });
-  fibers_.Run([this] {
-    AnnounceMember();
-    FollowShared();
-  });
+  fibers_.Run([this] { FollowShared(); });
   fibers_.Run([this] { ReadWorkers(); });
 }
 
@@ -114,6 +112,8 @@
     version = page->version;
     for (const StoreRow& row : page->rows)
       apply(row);
+    if (table == kSharedTable && !is_announced_)
+      fibers_.Run([this] { AnnounceMember(); });
     control_.Pump(BootClock::now());
   }
 }
@@ -159,17 +159,38 @@
 }
 
 void StoreLoop::AnnounceMember() {
-  while (true) {
-    const auto written = store_.Change(EncodeMember(self_), kCallTimeout);
+  if (is_announcing_)
+    return;
+  is_announcing_ = true;
+  while (!is_announced_ && !is_leaving_) {
+    const auto written =
+        store_.Change(EncodeMember(self_, member_version_), kCallTimeout);
     DidCall(written);
-    if (written)
-      return;
-    SleepFiber(kRetryDelay);
+    if (written) {
+      member_version_ = *written;
+      is_announced_ = true;
+    } else {
+      // The feed tells of the record that stands.
+      SleepFiber(kRetryDelay);
+    }
   }
+  is_announcing_ = false;
+}
+
+void StoreLoop::ApplyOwnRow(const StoreRow& row) {
+  if (row.version <= member_version_)
+    return;
+  member_version_ = row.deleted ? 0 : row.version;
+  const auto member = DecodeMember(row);
+  is_announced_ =
+      !row.deleted && member && member->incarnation == self_.incarnation;
+  if (!is_announced_)
+    fibers_.Run([this] { AnnounceMember(); });
 }
 
 void StoreLoop::RemoveMember() {
-  RowChange change = EncodeMember(self_);
+  is_leaving_ = true;
+  RowChange change = EncodeMember(self_, member_version_);
   change.is_removal = true;
   const auto written = store_.Change(change, kCallTimeout);
   DidCall(written);
@@ -182,7 +203,9 @@
 
 void StoreLoop::ApplySharedRow(const StoreRow& row) {
   const Time now = BootClock::now();
-  if (row.deleted) {
+  if (MemberNameOf(row) == self_.name) {
+    ApplyOwnRow(row);
+  } else if (row.deleted) {
     control_.ownership().DidDropMember(MemberNameOf(row));
   } else if (const auto member = DecodeMember(row)) {
     control_.ownership().DidReadMember(*member, now);
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -40,7 +40,9 @@
   void ReadWorkers();
   bool ReadWorkersOnce();
   bool NeedsWorkers(Time now) const;
+  // Writes this VM's record until it stands.
   void AnnounceMember();
+  void ApplyOwnRow(const StoreRow& row);
   // Sets the number of shards of data centres that have none yet.
   void CountShards(Time now);
   void ReadOperatorNow();
@@ -67,6 +69,10 @@
   bool is_lost_ = false;
   Time answered_at_{};
   bool is_reading_operator_ = false;
+  std::uint64_t member_version_ = 0;  // of this VM's record; 0: there is none
+  bool is_announced_ = false;         // that record is of this life
+  bool is_announcing_ = false;
+  bool is_leaving_ = false;
   struct CachedWorker {
     std::uint64_t version = 0;
     std::optional<WorkerEntry> entry;
--- a/Tests/Harness/lease_deployment.cc
+++ b/Tests/Harness/lease_deployment.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_from.hpp>
 #include <fstream>
@@ -52,26 +53,29 @@
 
 }  // namespace
 
-LeaseDeployment::LeaseDeployment(LeaseDeploymentOptions options)
+LeaseDeployment::LeaseDeployment(LeaseDeploymentOptions options,
+                                 bool start_entries)
     : options_(std::move(options)),
       entries_(options_.entries),
       callers_(options_.entries),
       readiness_(options_.entries),
-      metrics_(options_.entries) {
+      metrics_(options_.entries),
+      store_routes_(options_.entries) {
   char folder[] = "/tmp/mustardbank-lease-XXXXXX";
   folder_ = ::mkdtemp(folder);
-  std::ofstream(folder_ + "/plan.json") << json::serialize(
-      json::object{{"workers", options_.workers},
-                   {"data_centers", json::value_from(options_.data_centers)},
-                   {"millicores", options_.millicores},
-                   {"log", folder_ + "/starts"}});
+  json::object plan = options_.plan;
+  plan["workers"] = options_.workers;
+  plan["data_centers"] = json::value_from(options_.data_centers);
+  plan["millicores"] = options_.millicores;
+  plan["log"] = folder_ + "/starts";
+  std::ofstream(folder_ + "/plan.json") << json::serialize(plan);
   platform_ = std::make_unique<ChildProcess>(
       std::vector<std::string>{MUSTARDBANK_USERS_PLATFORM,
                                folder_ + "/plan.json"},
       folder_ + "/platform.err", kStartTimeout);
   store_ = Endpoint::Parse(platform_->first_line()).value_or(Endpoint{});
   PutConfiguration(1, {"/jobs/"});
-  for (int i = 0; i < options_.entries; ++i)
+  for (int i = 0; start_entries && i < options_.entries; ++i)
     StartEntry(i);
 }
 
@@ -93,7 +97,8 @@
       {"ip", "127.0.0.1"},
       {"peer_port", 0},
       {"metrics_port", 0},
-      {"store", store_.ToString()},
+      {"store", (store_routes_[index].port != 0 ? store_routes_[index] : store_)
+                    .ToString()},
       {"log_lines_per_second", 100'000}});
   entries_[index].reset();
   entries_[index] = std::make_unique<ChildProcess>(
@@ -174,6 +179,19 @@
   static_cast<void>(done);
 }
 
+std::map<std::string, Endpoint> LeaseDeployment::Workers() const {
+  std::map<std::string, Endpoint> workers;
+  const auto response =
+      Exchange(store_, {.method = "GET", .target = "/admin"}, kAdminTimeout);
+  if (!response)
+    return workers;
+  const json::value list = json::parse(response->body);
+  for (const json::value& worker : list.at("workers").as_array())
+    workers[std::string(worker.at("id").as_string())] =
+        Endpoint::Parse(worker.at("address").as_string()).value();
+  return workers;
+}
+
 void LeaseDeployment::PutConfiguration(
     std::uint64_t version,
     const std::vector<std::string>& prefixes) const {
--- a/Tests/Harness/lease_deployment.h
+++ b/Tests/Harness/lease_deployment.h
@@ -18,6 +18,8 @@
   int workers = 6;
   std::vector<std::string> data_centers{"rif", "tanger"};
   std::int64_t millicores = 64'000;
+  // Further fields of the stand-in's plan.
+  boost::json::object plan{};
 };
 
 // What a caller saw of one try.
@@ -29,9 +31,10 @@
 
 class LeaseDeployment {
  public:
-  // Starts the stand-in and the entries, with a configuration of one queue,
-  // `host/jobs/`, in a folder of its own.
-  explicit LeaseDeployment(LeaseDeploymentOptions options);
+  // Starts the stand-in and, unless told otherwise, the entries, with a
+  // configuration of one queue, `host/jobs/`, in a folder of its own.
+  explicit LeaseDeployment(LeaseDeploymentOptions options,
+                           bool start_entries = true);
   ~LeaseDeployment();
 
   // Waits until every entry is ready.
@@ -51,6 +54,11 @@
   // The text of the metrics address.
   std::string Scrape(int entry) const;
   void Admin(const boost::json::object& order) const;
+  // The workers' own addresses, by id.
+  std::map<std::string, Endpoint> Workers() const;
+  // Sends the store's traffic of an entry elsewhere from its next start on.
+  void RouteStore(int entry, Endpoint route) { store_routes_[entry] = route; }
+  Endpoint store() const { return store_; }
   void PutConfiguration(std::uint64_t version,
                         const std::vector<std::string>& prefixes) const;
 
@@ -77,6 +85,7 @@
   std::vector<Endpoint> callers_;
   std::vector<Endpoint> readiness_;
   std::vector<Endpoint> metrics_;
+  std::vector<Endpoint> store_routes_;
 };
 
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -165,6 +165,22 @@
   CHECK_EQUAL(0, deployment.entry(0).Wait(milliseconds(7000)).value_or(-1));
 }
 
+// The removal of its record is carried out after it has started again (soak,
+// seed 4).
+TEST(LeaseProcess, late_removal_does_not_unregister_the_next_life) {
+  deployment.Admin({{"store", "hang"}});
+  deployment.entry(0).Signal(SIGTERM);
+  CHECK(deployment.entry(0).Wait(milliseconds(7000)).has_value());
+  deployment.Admin({{"store", "up"}});
+  deployment.StartEntry(0);
+  CHECK(deployment.WaitUntilReady(kReady));
+  std::this_thread::sleep_for(milliseconds(5000));
+  CHECK(deployment.Scrape(1).find("mustardbank_peers_known 2") !=
+        std::string::npos);
+  CHECK_EQUAL(200,
+              deployment.Submit(0, IdOf(1), 1, 20'000, 20, kPatience).status);
+}
+
 TEST(LeaseProcess, silent_worker_is_passed_over) {
   deployment.Admin({{"worker", "w0"}, {"mode", "down"}});
   std::this_thread::sleep_for(milliseconds(1500));
--- /dev/null
+++ b/Tests/Soak/loopback_proxy.h
@@ -0,0 +1,48 @@
+// A TCP proxy on loopback that misbehaves on request.
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "LibCore/endpoint.h"
+#include "LibCore/enum_names.h"
+#include "LibFiber/fiber_thread.h"
+
+namespace mustardbank {
+
+enum class ProxyFault {
+  kNone,
+  kDelay,     // bytes come 100 ms late
+  kReset,     // connections are reset, new ones too
+  kCutThere,  // bytes to the server are dropped
+  kCutBack,   // bytes to the client are dropped
+  kSilent,    // both; connections stay open
+};
+
+inline constexpr EnumNames<ProxyFault, 6> kProxyFaultNames{
+    {"none", "delay", "reset", "cut_there", "cut_back", "silent"}};
+
+class LoopbackProxy {
+ public:
+  // Forwards what comes to a port of its own to `target`.
+  LoopbackProxy(FiberThread& thread, Endpoint target);
+  ~LoopbackProxy();
+
+  Endpoint endpoint() const { return endpoint_; }
+  void SetFault(ProxyFault fault) { fault_ = fault; }
+
+ private:
+  struct Connection;
+
+  void Accept();
+  void Forward(const std::shared_ptr<Connection>& connection, bool there);
+
+  FiberThread& thread_;
+  const Endpoint target_;
+  Endpoint endpoint_;
+  std::atomic<ProxyFault> fault_{ProxyFault::kNone};
+  struct Listener;
+  std::unique_ptr<Listener> listener_;
+};
+
+}  // namespace mustardbank
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -4,6 +4,8 @@
 //
 // usage: users_platform_stand_in PLAN, a JSON file:
 //   workers, data_centers, millicores, log (file)
+// and, to show that checks fail: clock_rate of the workers (promised 0.98 to
+// 1.02), ignores_tokens.
 // Prints the address of the store. The text that a job hands its tasks is
 // "MILLICORES RUN_MS [fail]". The log has a line for each start, and one that
 // begins with VIOLATION for a start that brings a worker over its room or that
@@ -11,9 +13,12 @@
 //
 // POST /admin there, an object with any of:
 //   configuration: put under the operator's key
-//   store: up, refuse, hang, or lose (answers of writes)
+//   store: up, refuse, hang (calls are carried out 3 s later), or lose
+//     (answers of writes)
 //   worker: ID or "*", with mode: normal, down (nothing listens to it), mute
-//     (answers are lost), late (orders are carried out 2 s later), leave
+//     (answers are lost), late (orders are carried out 2 s later), leave;
+//     or address: where the worker is registered, such as a proxy
+// GET /admin lists the workers with their own addresses.
 #include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
@@ -39,6 +44,7 @@
 constexpr milliseconds kPoll{2};
 constexpr milliseconds kLate{2000};
 constexpr milliseconds kHang{20'000};
+constexpr milliseconds kLateStore{3000};
 constexpr milliseconds kStoreTime{3};
 constexpr milliseconds kBeat{1000};
 
@@ -85,7 +91,7 @@
     if (mode == StoreMode::kRefuse)
       return {.status = 503};
     if (mode == StoreMode::kHang)
-      SleepFiber(kHang);
+      SleepFiber(kLateStore);
     SleepFiber(kStoreTime);
     if (request.path() == "/mustardbank/rows-get")
       return ToResponse(200, Page(std::string(request.query("table")), 0));
@@ -166,6 +172,7 @@
   std::string id;
   std::string data_center;
   Endpoint endpoint;
+  Endpoint registered;
   std::int64_t millicores = 0;
   WorkerMode mode = WorkerMode::kNormal;
   std::unique_ptr<WorkerModel> model;
@@ -174,16 +181,17 @@
 
 class Workers {
  public:
-  Workers(FiberThread& thread, std::string log)
-      : thread_(thread), log_(std::move(log), std::ios::app) {}
+  Workers(FiberThread& thread, std::string log, WorkerModel::Options options)
+      : thread_(thread),
+        log_(std::move(log), std::ios::app),
+        options_(options) {}
 
   void Add(std::string id, std::string data_center, std::int64_t millicores) {
     auto worker = std::make_unique<Worker>();
     worker->id = std::move(id);
     worker->data_center = std::move(data_center);
     worker->millicores = millicores;
-    worker->model = std::make_unique<WorkerModel>(
-        WorkerModel::Options{.clock_rate = 0.99}, NowMs());
+    worker->model = std::make_unique<WorkerModel>(options_, NowMs());
     worker->server = std::make_unique<HttpServer>(
         HttpServerLimits{}, [this, raw = worker.get()](HttpRequest&& request) {
           return Serve(*raw, request);
@@ -192,6 +200,7 @@
         worker->server
             ->Listen({&thread_}, Endpoint{.ip = 0x7F000001, .port = 0})
             .value();
+    worker->registered = worker->endpoint;
     workers_.push_back(std::move(worker));
   }
 
@@ -201,12 +210,26 @@
         continue;
       // A worker that was down has forgotten everything.
       if (worker->mode == WorkerMode::kDown && mode != WorkerMode::kDown)
-        worker->model = std::make_unique<WorkerModel>(
-            WorkerModel::Options{.clock_rate = 0.99}, NowMs());
+        worker->model = std::make_unique<WorkerModel>(options_, NowMs());
       worker->mode = mode;
     }
   }
 
+  void SetAddress(const std::string& id, Endpoint endpoint) {
+    for (const auto& worker : workers_) {
+      if (worker->id == id)
+        worker->registered = endpoint;
+    }
+  }
+
+  json::array List() const {
+    json::array list;
+    for (const auto& worker : workers_)
+      list.push_back(json::object{{"id", worker->id},
+                                  {"address", worker->endpoint.ToString()}});
+    return list;
+  }
+
   void Register(Store& store) {
     for (const auto& worker : workers_) {
       if (worker->mode == WorkerMode::kDown) {
@@ -215,7 +238,7 @@
       }
       const json::object entry{
           {"service", "guide"},
-          {"address", worker->endpoint.ToString()},
+          {"address", worker->registered.ToString()},
           {"zone", worker->data_center},
           {"version", "v1"},
           {"slots", 8},
@@ -345,6 +368,7 @@
 
   FiberThread& thread_;
   std::ofstream log_;
+  const WorkerModel::Options options_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::int64_t sequence_ = 0;
 };
@@ -352,7 +376,9 @@
 class StandIn {
  public:
   StandIn(FiberThread& thread, const json::object& plan)
-      : workers_(thread, std::string(plan.at("log").as_string())) {
+      : workers_(thread,
+                 std::string(plan.at("log").as_string()),
+                 OptionsOf(plan)) {
     const json::array& data_centers = plan.at("data_centers").as_array();
     for (std::int64_t i = 0; i < plan.at("workers").as_int64(); ++i)
       workers_.Add(
@@ -370,20 +396,33 @@
   HttpResponse Serve(const HttpRequest& request) {
     if (request.path() != "/admin")
       return store_.Serve(request);
+    if (request.method == "GET")
+      return ToResponse(200, {{"workers", workers_.List()}});
     const json::object body = ParseObject(request.body);
     if (const json::value* configuration = body.if_contains("configuration"))
       store_.Put("op", "config", EncodeBase64(json::serialize(*configuration)));
     if (const json::value* mode = body.if_contains("store"))
       store_.mode = kStoreModes.Find(mode->as_string()).value();
     if (const json::value* worker = body.if_contains("worker")) {
-      workers_.SetMode(std::string(worker->as_string()),
-                       kWorkerModes.Find(body.at("mode").as_string()).value());
+      const std::string id(worker->as_string());
+      if (const json::value* mode = body.if_contains("mode"))
+        workers_.SetMode(id, kWorkerModes.Find(mode->as_string()).value());
+      if (const json::value* address = body.if_contains("address"))
+        workers_.SetAddress(id, Endpoint::Parse(address->as_string()).value());
       workers_.Register(store_);
     }
     return ToResponse(200, {});
   }
 
  private:
+  static WorkerModel::Options OptionsOf(const json::object& plan) {
+    WorkerModel::Options options{.clock_rate = 0.99};
+    if (const json::value* rate = plan.if_contains("clock_rate"))
+      options.clock_rate = rate->to_number<double>();
+    options.ignores_tokens = plan.contains("ignores_tokens");
+    return options;
+  }
+
   Store store_;
   Workers workers_;
 };
