--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -63,7 +63,7 @@
     ++counters_.answers[404];
     return platform::EncodeNoSuchQueue();
   }
-  std::string id = path.substr(route->path_prefix.size());
+  const std::string id = path.substr(route->path_prefix.size());
   if (id.empty() && request.method == "GET")
     return ServeQueueQuery(*route);
   if (!platform::IsJobId(id)) {
@@ -71,7 +71,7 @@
     return platform::EncodeMalformed("a job's id has 16 hexadecimal digits");
   }
   if (request.method == "POST")
-    return ServeJob(*route, std::move(id), request, caller);
+    return ServeJob(*route, id, request, caller);
   if (request.method == "DELETE")
     return ServeCancel(id);
   if (request.method == "GET") {
@@ -92,7 +92,7 @@
 }
 
 HttpResponse JobService::ServeJob(const QueueRoute& route,
-                                  std::string id,
+                                  const std::string& id,
                                   const HttpRequest& request,
                                   CallerWatch& caller) {
   const Time now = BootClock::now();
@@ -134,7 +134,7 @@
     CancelHomeJob(id, *it->second);
   home_jobs_[id] = &home;
   caller.OnLeave([this, id, &home] { CancelHomeJob(id, home); });
-  const JobResult result = RunJob(std::move(job), home);
+  const JobResult result = RunJob(job, home);
   if (const auto it = home_jobs_.find(id);
       it != home_jobs_.end() && it->second == &home)
     home_jobs_.erase(it);
@@ -167,7 +167,7 @@
   }
 }
 
-JobResult JobService::RunJob(JobRequest job, HomeJob& home) {
+JobResult JobService::RunJob(const JobRequest& job, HomeJob& home) {
   const std::int64_t size = SizeOf(job);
   std::set<std::string> tried;
   JobResult result = Refusal(JobCause::kNoOwner);
--- a/Libraries/LibLeaseEntry/job_service.h
+++ b/Libraries/LibLeaseEntry/job_service.h
@@ -63,7 +63,7 @@
   };
 
   HttpResponse ServeJob(const QueueRoute& route,
-                        std::string id,
+                        const std::string& id,
                         const HttpRequest& request,
                         CallerWatch& caller);
   void AwaitConfiguration(Time arrived);
@@ -72,7 +72,7 @@
   bool MayFindOwnerSoon(Time now) const;
   HttpResponse ServeQueueQuery(const QueueRoute& route) const;
   HttpResponse ServeCancel(const std::string& id);
-  JobResult RunJob(JobRequest job, HomeJob& home);
+  JobResult RunJob(const JobRequest& job, HomeJob& home);
   JobResult RunHere(JobRequest job);
   JobResult RunAt(const std::string& owner,
                   const JobRequest& job,
--- a/Tests/LibLease/load_play.h
+++ b/Tests/LibLease/load_play.h
@@ -2,6 +2,7 @@
 // steps of one millisecond, and tells what callers got.
 #pragma once
 
+#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -94,8 +95,8 @@
         .millicores = static_cast<std::int64_t>(
             std::min(41'000.0, Lognormal(27'000, 0.2))),
         .tasks = std::clamp<std::uint32_t>(
-            static_cast<std::uint32_t>(Lognormal(kind.tasks, 0.4) + 0.5), 1,
-            kind.most_tasks)};
+            static_cast<std::uint32_t>(std::lround(Lognormal(kind.tasks, 0.4))),
+            1, kind.most_tasks)};
     const std::string id = "job" + std::to_string(next_job_++);
     ++outcomes_[kind.name].asked;
     JobRequest job =
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -151,6 +151,7 @@
 TEST(LeaseProcess, entry_that_stops_finishes_its_jobs) {
   std::vector<std::thread> callers;
   std::vector<unsigned> statuses(6);
+  callers.reserve(statuses.size());
   for (int i = 0; i < 6; ++i)
     callers.emplace_back([this, i, &statuses] {
       statuses[i] =
--- a/Tests/LibLeaseEntry/lease_world.cc
+++ b/Tests/LibLeaseEntry/lease_world.cc
@@ -345,8 +345,8 @@
 void LeaseWorld::SendOrder(int vm,
                            const OrderTarget& target,
                            Duration timeout,
-                           std::function<void(Worker&)> deliver,
-                           std::function<void(OrderAnswer)> fail) {
+                           const std::function<void(Worker&)>& deliver,
+                           const std::function<void(OrderAnswer)>& fail) {
   const int life = vms_[vm].life;
   const auto fail_on_vm = [this, vm, life, fail](OrderAnswer answer) {
     OnVm(vm, life, [fail, answer] { fail(answer); });
@@ -371,13 +371,12 @@
   }
   At(now_ + kHopMs, [this, vm, target, timeout, deliver, fail_on_vm] {
     Worker& worker = workers_.at(target.worker);
-    if (Is(LeaseFaultKind::kResetWorkers, vm)) {
+    if (Is(LeaseFaultKind::kResetWorkers, vm) ||
+        (!Is(LeaseFaultKind::kCutWorkers, vm) && !worker.alive)) {
       fail_on_vm(OrderAnswer::kRefusedConnection);
     } else if (Is(LeaseFaultKind::kCutWorkers, vm)) {
       At(now_ + ToMs(timeout),
          [fail_on_vm] { fail_on_vm(OrderAnswer::kNoAnswer); });
-    } else if (!worker.alive) {
-      fail_on_vm(OrderAnswer::kRefusedConnection);
     } else {
       deliver(worker);
     }
--- a/Tests/LibLeaseEntry/lease_world.h
+++ b/Tests/LibLeaseEntry/lease_world.h
@@ -129,8 +129,8 @@
   void SendOrder(int vm,
                  const OrderTarget& target,
                  Duration timeout,
-                 std::function<void(Worker&)> deliver,
-                 std::function<void(OrderAnswer)> fail);
+                 const std::function<void(Worker&)>& deliver,
+                 const std::function<void(OrderAnswer)>& fail);
   void Reply(int vm,
              int life,
              const std::string& worker,
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -63,7 +63,7 @@
  public:
   Soak(unsigned seed,
        milliseconds length,
-       LeaseDeploymentOptions options,
+       const LeaseDeploymentOptions& options,
        int callers)
       : random_(seed),
         length_(length),
@@ -91,6 +91,7 @@
       return false;
     }
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(caller_count_));
     for (int i = 0; i < caller_count_; ++i)
       callers.emplace_back([this, i] { CallUntilEnd(i); });
     const Clock::time_point end = Clock::now() + length_;
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -66,7 +66,7 @@
   return !error && value.is_object() ? value.get_object() : json::object();
 }
 
-HttpResponse ToResponse(unsigned status, json::object body) {
+HttpResponse ToResponse(unsigned status, const json::object& body) {
   return {.status = status, .body = json::serialize(body)};
 }
 
@@ -133,7 +133,7 @@
     while (true) {
       json::object page = Page(table, std::max<std::uint64_t>(1, after));
       if (!page["rows"].as_array().empty() || NowMs() >= end)
-        return ToResponse(200, std::move(page));
+        return ToResponse(200, page);
       SleepFiber(kPoll);
     }
   }
@@ -181,10 +181,10 @@
 
 class Workers {
  public:
-  Workers(FiberThread& thread, std::string log, WorkerModel::Options options)
-      : thread_(thread),
-        log_(std::move(log), std::ios::app),
-        options_(options) {}
+  Workers(FiberThread& thread,
+          const std::string& log,
+          WorkerModel::Options options)
+      : thread_(thread), log_(log, std::ios::app), options_(options) {}
 
   void Add(std::string id, std::string data_center, std::int64_t millicores) {
     auto worker = std::make_unique<Worker>();
@@ -359,11 +359,11 @@
   static HttpResponse Answer(const Worker& worker, OrderAnswer answer) {
     json::object body{{"clockMs", worker.model->ClockAt(NowMs())}};
     if (answer == OrderAnswer::kAccepted)
-      return ToResponse(200, std::move(body));
+      return ToResponse(200, body);
     body["reason"] = answer == OrderAnswer::kFenced ? "fence"
                      : answer == OrderAnswer::kLate ? "late"
                                                     : "old";
-    return ToResponse(409, std::move(body));
+    return ToResponse(409, body);
   }
 
   FiberThread& thread_;
