Tests: Let the soak's tasks outlast leases, so that its check can fail

With tasks of at most 0.3 s a broken allowance for slow clocks was never found; one task in four now takes 0.9 to 1.8 s.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -229,7 +229,10 @@
       char id[17];
       std::snprintf(id, sizeof id, "%08x%08x", caller + 1, i);
       const int tasks = 1 + static_cast<int>(random() % 4);
-      const int run_ms = 20 + static_cast<int>(random() % 300);
+      // One in four outlasts a lease.
+      const int run_ms = random() % 4 == 0
+                             ? 900 + static_cast<int>(random() % 900)
+                             : 20 + static_cast<int>(random() % 300);
       const int millicores = 15'000 + static_cast<int>(random() % 20'000);
       RunJob(id, tasks, millicores, run_ms, caller + i);
     }
