--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -99,7 +99,10 @@
       if (!error)
         stream.socket().cancel(ignored);
     });
-    read_ended.Wait();
+    // The signal may be left over from a read that ended while its request's
+    // forerunner was served.
+    while (read_pending)
+      read_ended.Wait();
     idle_timer.cancel();
   }
   return !read_error;
@@ -208,7 +211,8 @@
     // the connection, and the answer with it.
     stream.socket().shutdown(tcp::socket::shutdown_receive, ignored);
     stream.socket().cancel(ignored);
-    read_ended.Wait();
+    while (read_pending)
+      read_ended.Wait();
   }
 }
 
--- a/Tests/LibHttp/http_test.cc
+++ b/Tests/LibHttp/http_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 
+#include "LibFiber/fiber_thread.h"
 #include "LibFiber/run_in_fiber.h"
 #include "LibHttp/http_client.h"
 #include "LibHttp/http_server.h"
@@ -87,6 +88,30 @@
   CHECK(client.ReceiveAll().starts_with("HTTP/1.1 413"));
 }
 
+// The second request comes while the first is served, the third later.
+TEST(HttpServers, serve_requests_that_come_early) {
+  HttpServer slow{HttpServerLimits{}, [](HttpRequest&& request) {
+                    SleepFiber(std::chrono::milliseconds(50));
+                    return HttpResponse{.body = request.body};
+                  }};
+  const Endpoint slow_endpoint = boost::leaf::try_handle_all(
+      [&] { return slow.Listen({&thread}, kAnyPort); },
+      [] { return Endpoint{}; });
+  const RawClient client(slow_endpoint);
+  const auto post = [&client](const std::string& body, bool is_last) {
+    client.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n" +
+                std::string(is_last ? "Connection: close\r\n" : "") + "\r\n" +
+                body);
+  };
+  post("1", false);
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  post("2", false);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  post("3", true);
+  const std::string answers = client.ReceiveAll();
+  CHECK(answers.ends_with("3"));
+}
+
 TEST(HttpServers, refuse_what_is_no_http) {
   RawClient client(endpoint);
   client.Send("what is this\r\n\r\n");
