--- a/Meta/mustardbank.sh
+++ b/Meta/mustardbank.sh
@@ -68,14 +68,16 @@
 
 run_tests() {
   build
-  local log total=0 failed=0
+  local log total=0 failed=0 failures
   log=$(mktemp)
   for program in "$BUILD"/Tests/*Tests; do
     echo "== $(basename "$program")"
     if "$program" -v >"$log" 2>&1; then
       grep -E '^TEST|^OK' "$log"
     else
-      failed=$((failed + $(grep -c 'error: Failure in' "$log" || true)))
+      # A program that crashed has told of no failure.
+      failures=$(grep -c 'error: Failure in' "$log" || true)
+      failed=$((failed + (failures > 0 ? failures : 1)))
       cat "$log"
     fi
     total=$((total + $(grep -c '^TEST(' "$log" || true)))
