LibLeaseEntry: Remove state that nothing reads

Found on reading the change: a flag that was only written, an unused reference, a condition that stood twice (the latest start is the objective less the chain) and an unused local of the test world. Behaviour stays as it is.

--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -234,9 +234,7 @@
   for (const auto& [id, job] : jobs_) {
     if (now >= job.request.deadline)
       expired.push_back(id);
-    else if (!job.was_started && now > job.estimate.latest_start &&
-             now > job.request.arrived + job.estimate.objective -
-                       job.estimate.longest_chain)
+    else if (!job.was_started && now > job.estimate.latest_start)
       overdue.push_back(id);
   }
   for (const std::string& id : expired) {
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -360,7 +360,6 @@
         peer == control_.ownership().peers().end() ||
         now - peer->second.heard > control_.ownership_timing().owner_silence;
     if (is_lost) {
-      home->is_owner_lost = true;
       home->connection->Close();
       home->connection = nullptr;
     }
--- a/Libraries/LibLeaseEntry/job_service.h
+++ b/Libraries/LibLeaseEntry/job_service.h
@@ -25,7 +25,7 @@
 class JobService {
  public:
   JobService(boost::asio::io_context& io, LeaseControl& control)
-      : control_(control), io_(io), peers_(io, kPeerLimits) {}
+      : control_(control), peers_(io, kPeerLimits) {}
 
   HttpResponse ServeCaller(HttpRequest&& request, CallerWatch& caller);
   HttpResponse ServePeer(HttpRequest&& request, CallerWatch& caller);
@@ -59,7 +59,6 @@
     std::string owner;                     // where it runs
     HttpConnection* connection = nullptr;  // to that owner, if another VM
     bool is_cancelled = false;
-    bool is_owner_lost = false;
   };
 
   HttpResponse ServeJob(const QueueRoute& route,
@@ -85,7 +84,6 @@
                       Time now);
 
   LeaseControl& control_;
-  boost::asio::io_context& io_;
   ConnectionPool peers_;
   std::map<std::string, PendingRun*> runs_;  // by home and job
   std::map<std::string, HomeJob*> home_jobs_;
--- a/Tests/LibLeaseEntry/lease_world.cc
+++ b/Tests/LibLeaseEntry/lease_world.cc
@@ -80,7 +80,6 @@
   if (!vm.alive)
     return;
   vm.alive = false;
-  const int life = vm.life;
   // Connections end: callers and owners see it.
   for (std::size_t i = 0; i < jobs_.size(); ++i) {
     Job& job = jobs_[i];
@@ -104,7 +103,6 @@
       Close(i, JobOutcome::kGivenUp);
     }
   }
-  static_cast<void>(life);
 }
 
 void LeaseWorld::BeginFault(const LeaseFault& fault) {
