LibLease: Release a shard once its successor has claimed it

Cause: an owner that stopped named a successor in its heartbeats and started nothing from then on.

Now an offer changes nothing; the owner releases its workers when it sees the claim (feed or heartbeat of the successor), an offer not taken for 1 s goes to another VM, and jobs go to an owner that leaves if there is no other. Offers and releases are told at once, not at the next heartbeat.

Ruled out: claims without the store (no fencing token); offering only to VMs that say they reach the store (they may lose it a moment later).

Before: process test entry_that_stops_serves_until_its_workers_are_claimed red (503).

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -30,6 +30,7 @@
   kShardClaimFailed,
   kShardLost,
   kShardHandedOver,
+  kShardReleased,
   kWorkerAdded,
   kWorkerRemoved,
   kWorkerPhase,
@@ -49,7 +50,7 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 32> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 33> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -65,6 +66,7 @@
      "shard_claim_failed",
      "shard_lost",
      "shard_handed_over",
+     "shard_released",
      "worker_added",
      "worker_removed",
      "worker_phase",
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -68,7 +68,7 @@
     const bool has_workers =
         std::any_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
           return worker.second.entry.service == job.request.policy.service &&
-                 !worker.second.entry.leaving;
+                 !worker.second.entry.leaving && !worker.second.releasing;
         });
     return JobResult{
         .outcome = JobOutcome::kRefused,
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -89,13 +89,24 @@
   }
   if (it == owned_.end() || it->second.version >= record.version)
     return;
-  if (it->second.successor == record.owner) {
-    it->second.is_handed_over = true;
-    if (it->second.busy.empty())
-      Drop(record.shard, "handed_over", now);
-  } else {
+  if (it->second.offered_to.contains(record.owner))
+    DidSeeClaim(record.shard, it->second, record.owner, now);
+  else
     Drop(record.shard, "claimed_elsewhere", now);
-  }
+}
+
+void Ownership::DidSeeClaim(const ShardId& id,
+                            Owned& owned,
+                            const std::string& successor,
+                            Time now) {
+  if (owned.is_claimed && owned.successor == successor)
+    return;
+  owned.successor = successor;
+  owned.is_claimed = true;
+  log_.Write(LogEvent::kShardReleased, now, LogBudget::kState)
+      .Add(LogField::kShard, id.ToString())
+      .Add(LogField::kPeer, successor)
+      .Add(LogField::kElapsedMs, now - owned.offered);
 }
 
 void Ownership::DidHear(const Heartbeat& heartbeat, Time now) {
@@ -118,10 +129,21 @@
   peer.last = heartbeat;
   peer.heard = now;
   ++peer.heartbeats;
+  // The store may be away, and with it the record of the claim.
+  for (auto& [id, owned] : owned_) {
+    const ShardStatus* status = FindStatus(heartbeat, id);
+    if (status && status->version > owned.version &&
+        owned.offered_to.contains(heartbeat.name))
+      DidSeeClaim(id, owned, heartbeat.name, now);
+  }
 }
 
 bool Ownership::IsAlive(const Peer& peer, Time now) const {
-  if (peer.heard == Time::min() || peer.last.leaving)
+  return IsHeard(peer, now) && !peer.last.leaving;
+}
+
+bool Ownership::IsHeard(const Peer& peer, Time now) const {
+  if (peer.heard == Time::min())
     return false;
   const Duration limit =
       peer.last.shards.empty() ? timing_.member_silence : timing_.owner_silence;
@@ -251,11 +273,12 @@
       .Add(LogField::kToken, version);
   Owned& owned = owned_[id];
   owned = Owned{.version = version, .claimed = now};
-  // An owner that hands over lists the workers where its tasks still run.
+  // An owner that hands over tells where its tasks still run.
   const auto peer = peers_.find(former);
   if (peer != peers_.end()) {
     const ShardStatus* status = FindStatus(peer->second.last, id);
-    if (status && status->successor == self_.name)
+    // It may have turned to another VM before it sees this claim.
+    if (status && !status->successor.empty())
       owned.predecessor = former;
   }
   shards_[id].ownerless_since = Time::max();
@@ -284,13 +307,26 @@
 }
 
 void Ownership::SetBusy(const ShardId& id, std::vector<std::string> busy) {
-  if (const auto it = owned_.find(id); it != owned_.end())
-    it->second.busy = std::move(busy);
+  const auto it = owned_.find(id);
+  if (it == owned_.end() || !it->second.is_claimed)
+    return;
+  if (!std::exchange(it->second.is_busy_known, true))
+    ++hand_over_steps_;
+  it->second.busy = std::move(busy);
 }
 
 bool Ownership::IsReleasing(const ShardId& id) const {
   const auto it = owned_.find(id);
-  return it != owned_.end() && !it->second.successor.empty();
+  return it != owned_.end() && it->second.is_claimed;
+}
+
+std::vector<ShardId> Ownership::ReleasingShards() const {
+  std::vector<ShardId> releasing;
+  for (const auto& [id, owned] : owned_) {
+    if (owned.is_claimed)
+      releasing.push_back(id);
+  }
+  return releasing;
 }
 
 std::optional<std::uint64_t> Ownership::TokenFor(const std::string& worker,
@@ -305,6 +341,7 @@
   if (!status)
     return owned.version;
   const bool is_busy = status->successor != self_.name ||
+                       !status->is_released ||
                        std::find(status->busy.begin(), status->busy.end(),
                                  worker) != status->busy.end();
   return is_busy ? std::nullopt : std::optional(owned.version);
@@ -338,11 +375,13 @@
   });
 }
 
-std::string Ownership::ChooseSuccessor(const ShardId& id, Time now) const {
+std::string Ownership::ChooseSuccessor(const ShardId& id,
+                                       const std::set<std::string>& passed_over,
+                                       Time now) const {
   std::string best;
   std::tuple<bool, double> best_rank;
   for (const auto& [name, peer] : peers_) {
-    if (!IsAlive(peer, now))
+    if (!IsAlive(peer, now) || passed_over.contains(name))
       continue;
     const std::tuple rank(
         peer.record.data_center != id.data_center,
@@ -356,25 +395,32 @@
 }
 
 void Ownership::HandOver(const ShardId& id, Owned& owned, Time now) {
-  if (owned.is_handed_over)
+  if (owned.is_claimed)
     return;
   // The next owner hears of busy workers from this VM alone.
   const ShardStatus* status = PredecessorStatus(id, owned, now);
-  if (status && (status->successor != self_.name || !status->busy.empty()))
+  if (status && (status->successor != self_.name || !status->is_released ||
+                 !status->busy.empty()))
     return;
   if (!owned.successor.empty()) {
     const auto it = peers_.find(owned.successor);
-    if (it != peers_.end() && IsAlive(it->second, now))
+    if (it != peers_.end() && IsAlive(it->second, now) &&
+        now - owned.offered <= timing_.offer_limit)
       return;
   }
-  owned.successor = leaving_ || HasBetterOwner(id, now)
-                        ? ChooseSuccessor(id, now)
-                        : std::string();
-  if (!owned.successor.empty()) {
+  const std::string last = std::exchange(owned.successor, "");
+  if (!leaving_ && !HasBetterOwner(id, now))
+    return;
+  owned.successor = ChooseSuccessor(id, owned.offered_to, now);
+  if (owned.successor.empty())
+    owned.successor = ChooseSuccessor(id, {}, now);
+  owned.offered = now;
+  if (!owned.successor.empty() && owned.successor != last) {
+    ++hand_over_steps_;
+    owned.offered_to.insert(owned.successor);
     log_.Write(LogEvent::kShardHandedOver, now, LogBudget::kState)
         .Add(LogField::kShard, id.ToString())
-        .Add(LogField::kPeer, owned.successor)
-        .Add(LogField::kCount, owned.busy.size());
+        .Add(LogField::kPeer, owned.successor);
   }
 }
 
@@ -396,7 +442,7 @@
   std::vector<ShardId> handed;
   for (auto& [id, owned] : owned_) {
     HandOver(id, owned, now);
-    if (owned.is_handed_over && owned.busy.empty())
+    if (owned.is_busy_known && owned.busy.empty())
       handed.push_back(id);
   }
   for (const ShardId& id : handed)
@@ -448,6 +494,7 @@
     heartbeat.shards.push_back({.shard = id,
                                 .version = owned.version,
                                 .successor = owned.successor,
+                                .is_released = owned.is_busy_known,
                                 .busy = owned.busy});
   }
   for (const auto& [name, peer] : peers_) {
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -7,6 +7,9 @@
 // an owner that neither this VM nor any VM it hears has heard for a time,
 // first by VMs of the shard's data centre, and from outside only by a VM that
 // reaches the shard's workers.
+//
+// An owner that leaves offers its shards, and goes on starting tasks until
+// the successor's claim is seen: the successor may be unable to claim.
 #pragma once
 
 #include <map>
@@ -39,6 +42,9 @@
   Duration claim_retry = std::chrono::milliseconds(400);
   // A VM of the shard's data centre gets it back after this time in sight.
   Duration return_delay = std::chrono::milliseconds(600);
+  // A claim takes a heartbeat and a write to the store; one that takes longer
+  // than this is not to be expected of the VM that was asked.
+  Duration offer_limit = std::chrono::milliseconds(1000);
 };
 
 struct ClaimShard {
@@ -82,7 +88,7 @@
   void DidProbe(const std::string& data_center, bool reached, Time now);
   // A worker refused an order, since a later owner has given some.
   void DidLose(const ShardId& shard, Time now);
-  // Workers of the shard where tasks of this owner may run.
+  // Workers of a shard that is released, where tasks of this owner may run.
   void SetBusy(const ShardId& shard, std::vector<std::string> busy);
 
   void Tick(Time now);
@@ -97,8 +103,13 @@
                                         const std::string& data_center,
                                         Time now) const;
   bool Owns(const ShardId& shard) const { return owned_.contains(shard); }
+  // Whether the shard's successor has claimed it: nothing more is started.
   bool IsReleasing(const ShardId& shard) const;
-  bool IsHandingOver() const;
+  std::vector<ShardId> ReleasingShards() const;
+  // Whether there are shards that are owned and not released.
+  bool StartsAny() const { return ReleasingShards().size() < owned_.size(); }
+  // Counts offers and releases, which the successor shall hear of at once.
+  std::uint64_t hand_over_steps() const { return hand_over_steps_; }
   // When the shard was claimed; it must be owned.
   Time ClaimedAt(const ShardId& shard) const {
     return owned_.at(shard).claimed;
@@ -124,17 +135,23 @@
     std::uint64_t heartbeats = 0;
   };
   const std::map<std::string, Peer>& peers() const { return peers_; }
-  // Whether the VM sent a heartbeat lately and does not leave.
+  // Whether the VM sent a heartbeat lately.
+  bool IsHeard(const Peer& peer, Time now) const;
+  // Whether it does so and does not leave.
   bool IsAlive(const Peer& peer, Time now) const;
 
  private:
   struct Owned {
     std::uint64_t version = 0;
     std::string successor;
+    Time offered;
+    // All VMs it was offered to: an earlier one may have claimed it.
+    std::set<std::string> offered_to;
+    bool is_busy_known = false;
     std::vector<std::string> busy;
     // The owner before, while it may still have tasks on some workers.
     std::string predecessor;
-    bool is_handed_over = false;  // the successor has claimed it
+    bool is_claimed = false;  // by the successor
     Time claimed;
   };
 
@@ -156,12 +173,20 @@
             const std::string& former,
             Time now);
   void Drop(const ShardId& id, std::string_view cause, Time now);
+  bool IsHandingOver() const;
   void HandOver(const ShardId& id, Owned& owned, Time now);
+  void DidSeeClaim(const ShardId& id,
+                   Owned& owned,
+                   const std::string& successor,
+                   Time now);
   const ShardStatus* PredecessorStatus(const ShardId& id,
                                        const Owned& owned,
                                        Time now) const;
   bool HasBetterOwner(const ShardId& id, Time now) const;
-  std::string ChooseSuccessor(const ShardId& id, Time now) const;
+  // None of `passed_over`; "" if there is no other.
+  std::string ChooseSuccessor(const ShardId& id,
+                              const std::set<std::string>& passed_over,
+                              Time now) const;
   void NoteLostPeers(Time now);
 
   const Self self_;
@@ -175,6 +200,7 @@
   std::map<std::string, Time> probed_;
   std::vector<ClaimShard> claims_;
   std::vector<ProbeDataCenter> probes_;
+  std::uint64_t hand_over_steps_ = 0;
   bool leaving_ = false;
   bool has_store_ = true;
   Time store_regained_ = Time::min();
--- a/Libraries/LibLease/router.cc
+++ b/Libraries/LibLease/router.cc
@@ -1,6 +1,7 @@
 #include "LibLease/router.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardbank {
 
@@ -25,7 +26,7 @@
                            std::int64_t millicores,
                            const std::set<std::string>& tried) const {
   const RouterCandidate* best = nullptr;
-  double best_score = 0;
+  std::pair<bool, double> best_score;
   for (const RouterCandidate& candidate : candidates) {
     if (tried.contains(candidate.name))
       continue;
@@ -36,8 +37,9 @@
         static_cast<double>(load.free_millicores - load.queued_millicores -
                             SentTo(candidate.name) - millicores);
     // Above zero, room is as good as more room; below, less is worse.
-    const double score = std::min(0.0, room / capacity) +
-                         (candidate.is_near ? kNearPreference : 0);
+    const std::pair score(!candidate.is_leaving,
+                          std::min(0.0, room / capacity) +
+                              (candidate.is_near ? kNearPreference : 0));
     if (!best || score > best_score) {
       best = &candidate;
       best_score = score;
--- a/Libraries/LibLease/router.h
+++ b/Libraries/LibLease/router.h
@@ -15,13 +15,14 @@
   std::string name;
   bool is_self = false;
   bool is_near = false;  // it owns workers of the home's data centre
+  bool is_leaving = false;
   OwnerLoad load;
 };
 
 class Router {
  public:
   // The owner to try next for a job that needs `millicores` at once, but none
-  // of `tried`; "" if there is none.
+  // of `tried`; one that leaves only if there is no other; "" if there is none.
   std::string Choose(const std::vector<RouterCandidate>& candidates,
                      std::int64_t millicores,
                      const std::set<std::string>& tried) const;
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -43,8 +43,10 @@
 struct ShardStatus {
   ShardId shard;
   std::uint64_t version = 0;
-  std::string successor;  // the VM it is handed to, or ""
-  // While it is handed over: workers where tasks of the old owner may run.
+  std::string successor;  // the VM it is offered to, or ""
+  // The successor has claimed it, and this owner starts nothing more.
+  bool is_released = false;
+  // Of a shard that is released: workers where this owner's tasks may run.
   std::vector<std::string> busy;
 };
 
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -341,6 +341,8 @@
         .Add(LogField::kReason, "a peer's job can't be read");
     return ProblemResponse(400, "Malformed job", "The job did not run.");
   }
+  if (!CanEndBefore(*job, exit_, now))
+    return {.body = EncodeJobResult(Refusal(JobCause::kLeaving))};
   caller.OnLeave([this, id = job->id, home = job->home] {
     if (!runs_.contains(RunKey(home, id)))
       return;
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -105,13 +105,13 @@
 
 void LeaseControl::SyncBusy() {
   std::map<ShardId, std::vector<std::string>> busy;
+  for (const ShardId& shard : ownership_.ReleasingShards())
+    busy[shard];
   for (const auto& [id, worker] : dispatcher_.workers()) {
     const ShardId shard = ownership_.ShardOf(id, worker.entry.data_center);
-    if (!ownership_.IsReleasing(shard))
-      continue;
-    std::vector<std::string>& workers = busy[shard];
-    if (!worker.releasing || !worker.IsIdle())
-      workers.push_back(id);
+    const auto it = busy.find(shard);
+    if (it != busy.end() && (!worker.releasing || !worker.IsIdle()))
+      it->second.push_back(id);
   }
   for (auto& [shard, workers] : busy)
     ownership_.SetBusy(shard, std::move(workers));
@@ -147,10 +147,13 @@
 
 void LeaseControl::Tick(Time now) {
   ownership_.Tick(now);
-  // What a successor is told of busy workers must be as new as the offer.
-  if (now - synced_at_ >= kSyncInterval || ownership_.IsHandingOver()) {
+  // What a successor is told of busy workers must be as new as the release.
+  if (now - synced_at_ >= kSyncInterval ||
+      !ownership_.ReleasingShards().empty()) {
     SyncWorkers(now);
     SyncBusy();
+    if (!ownership_.ReleasingShards().empty() && !ownership_.StartsAny())
+      dispatcher_.RefuseQueued(JobCause::kHandedOver, now);
   }
   CancelJobsOfSilentHomes(now);
   dispatcher_.Tick(now);
@@ -159,9 +162,6 @@
 
 void LeaseControl::Leave(Time now) {
   ownership_.Leave(now);
-  SyncWorkers(now);
-  SyncBusy();
-  dispatcher_.RefuseQueued(JobCause::kHandedOver, now);
   Pump(now);
 }
 
@@ -192,23 +192,23 @@
                        });
   };
   const auto accepts = [](const std::vector<ShardStatus>& shards) {
-    return std::any_of(shards.begin(), shards.end(), [](const auto& status) {
-      return status.successor.empty();
-    });
+    return std::any_of(shards.begin(), shards.end(),
+                       [](const auto& status) { return !status.is_released; });
   };
   const Heartbeat self = ownership_.MakeHeartbeat({}, 0, now);
   const OwnerLoad own_load = dispatcher_.Load(now);
-  if (accepts(self.shards) && !ownership_.is_leaving() &&
-      own_load.capacity_millicores > 0)
+  if (accepts(self.shards) && own_load.capacity_millicores > 0)
     owners.push_back({.name = self_.name,
                       .is_self = true,
                       .is_near = is_near(self.shards),
+                      .is_leaving = self.leaving,
                       .load = own_load});
   for (const auto& [name, peer] : ownership_.peers()) {
-    if (ownership_.IsAlive(peer, now) && accepts(peer.last.shards) &&
+    if (ownership_.IsHeard(peer, now) && accepts(peer.last.shards) &&
         peer.last.load.capacity_millicores > 0)
       owners.push_back({.name = name,
                         .is_near = is_near(peer.last.shards),
+                        .is_leaving = peer.last.leaving,
                         .load = peer.last.load});
   }
   return owners;
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -215,6 +215,9 @@
 
   void SendHeartbeats(Time now) {
     const OwnershipTiming& timing = control_.ownership_timing();
+    if (const std::uint64_t steps = control_.ownership().hand_over_steps();
+        std::exchange(hand_over_steps_, steps) != steps)
+      heartbeat_sent_.clear();
     std::string bytes;
     for (const auto& [name, peer] : control_.ownership().peers()) {
       const bool is_busy =
@@ -298,6 +301,7 @@
   std::unique_ptr<StoreLoop> store_;
   std::map<std::string, Time> heartbeat_sent_;
   std::uint64_t datagrams_unsent_ = 0;
+  std::uint64_t hand_over_steps_ = 0;
 };
 
 LeaseEntry::LeaseEntry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -53,6 +53,7 @@
                       {"version", status.version}};
   if (!status.successor.empty()) {
     object["successor"] = status.successor;
+    object["released"] = status.is_released;
     object["busy"] = json::value_from(status.busy);
   }
   return object;
@@ -65,6 +66,7 @@
       .version = Integer<std::uint64_t>(object, "version")};
   if (object.contains("successor")) {
     status.successor = Text(object, "successor");
+    status.is_released = object.at("released").as_bool();
     status.busy = json::value_to<std::vector<std::string>>(object.at("busy"));
   }
   return status;
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -27,6 +27,7 @@
     case LogEvent::kShardClaimed:
     case LogEvent::kShardLost:
     case LogEvent::kShardHandedOver:
+    case LogEvent::kShardReleased:
     case LogEvent::kWorkerPhase:
     case LogEvent::kWorkerExcluded:
       return true;
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -166,6 +166,30 @@
   CHECK_EQUAL(0, deployment.entry(0).Wait(milliseconds(7000)).value_or(-1));
 }
 
+// A VM cut off from the store with its peer offers workers that the peer can't
+// claim (incident of anbsm-guides).
+TEST(LeaseProcess, entry_that_stops_serves_until_its_workers_are_claimed) {
+  LeaseDeployment cut_off{{.entries = 2, .data_centers = {"rif"}}};
+  CHECK(cut_off.WaitUntilReady(kReady));
+  const bool is_owned_by_first =
+      cut_off.Scrape(0).find("mustardbank_workers_owned 0") ==
+      std::string::npos;
+  const int owner = is_owned_by_first ? 0 : 1;
+  cut_off.Admin({{"store", "refuse"}});
+  cut_off.entry(owner).Signal(SIGTERM);
+  for (int i = 0; i < 10; ++i) {
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK_EQUAL(
+        200,
+        cut_off.Submit(1 - owner, IdOf(i), 1, 20'000, 20, kPatience).status);
+  }
+  cut_off.Admin({{"store", "up"}});
+  CHECK_EQUAL(0, cut_off.entry(owner).Wait(milliseconds(7000)).value_or(-1));
+  CHECK_EQUAL(
+      200,
+      cut_off.Submit(1 - owner, IdOf(20), 1, 20'000, 20, kPatience).status);
+}
+
 // The removal of its record is carried out after it has started again (soak,
 // seed 4).
 TEST(LeaseProcess, late_removal_does_not_unregister_the_next_life) {
