LibLeaseEntry: Explain where the time of a request went

Cause: explain said of a late answer only that the job succeeded. It now tells when its tasks started, what was expected and which runs ended early.

--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -205,14 +205,43 @@
            " jobs were queued and it needed " +
            refused->Field(LogField::kExpectedMs) + " ms";
   }
-  if (const LogRecord* failed = Last(LogEvent::kTaskEnded);
-      failed && failed->Field(LogField::kOutcome) != "done")
-    return "; the last run that ended was " +
-           failed->Field(LogField::kOutcome) + " on worker " +
-           failed->Field(LogField::kWorker);
-  if (const LogRecord* forwarded = Last(LogEvent::kJobForwarded))
-    return "; it ran at " + forwarded->Field(LogField::kPeer);
-  return "";
+  const LogRecord* forwarded = Last(LogEvent::kJobForwarded);
+  if (!forwarded)
+    return "";
+  std::string evidence = "; it went to " + forwarded->Field(LogField::kPeer);
+  std::vector<std::string> waits;  // until the first run of each task
+  for (const LogRecord& line : request_lines_) {
+    if (line.event == LogEvent::kTaskStarted &&
+        line.Field(LogField::kRun) == "1")
+      waits.push_back(
+          std::to_string(line.wall_ms - request_lines_.front().wall_ms));
+  }
+  if (waits.empty())
+    return evidence + ", where no task was started";
+  evidence += ", its tasks started after " + waits.front() + " to " +
+              waits.back() + " ms";
+  if (const LogRecord* admitted = Last(LogEvent::kJobAdmitted))
+    evidence += " (" + admitted->Field(LogField::kExpectedMs) +
+                " ms of work were expected)";
+  return evidence + EarlyEnds();
+}
+
+// Runs that were not done: stopped, failed, or lost with their worker.
+std::string RequestHistory::EarlyEnds() const {
+  int count = 0;
+  const LogRecord* last = nullptr;
+  for (const LogRecord& line : request_lines_) {
+    if (line.event != LogEvent::kTaskEnded ||
+        line.Field(LogField::kOutcome) == "done")
+      continue;
+    ++count;
+    last = &line;
+  }
+  if (!last)
+    return "";
+  return "; " + std::to_string(count) + " of its runs ended early, the last " +
+         last->Field(LogField::kOutcome) + " on worker " +
+         last->Field(LogField::kWorker);
 }
 
 std::string RequestHistory::Cause() const {
--- a/Libraries/LibLeaseEntry/request_history.h
+++ b/Libraries/LibLeaseEntry/request_history.h
@@ -48,6 +48,7 @@
   bool Concerns(const LogRecord& record) const;
   const LogRecord* Last(LogEvent event) const;
   std::string Evidence() const;
+  std::string EarlyEnds() const;
 
   const std::string job_;
   std::vector<LogRecord> request_lines_;
--- a/Tests/LibLeaseEntry/request_history_test.cc
+++ b/Tests/LibLeaseEntry/request_history_test.cc
@@ -70,6 +70,29 @@
   CHECK_EQUAL("unknown", history.CauseName());
 }
 
+TEST(RequestHistory, late_success_says_where_its_time_went) {
+  const std::string cause =
+      HistoryOf(
+          "ts_ms=10 process=a event=job_received job=00000000000000ab\n"
+          "ts_ms=10 process=a event=job_forwarded job=00000000000000ab peer=b\n"
+          "ts_ms=12 process=b event=job_admitted job=00000000000000ab "
+          "expected_ms=60\n"
+          "ts_ms=45 process=b event=task_started task=00000000000000ab.0.0.0 "
+          "run=1 worker=w1\n"
+          "ts_ms=300 process=b event=task_ended task=00000000000000ab.0.0.0 "
+          "run=1 worker=w1 outcome=lapsed\n"
+          "ts_ms=400 process=b event=task_ended task=00000000000000ab.0.0.0 "
+          "run=2 worker=w2 outcome=done\n"
+          "ts_ms=401 process=a event=answered job=00000000000000ab status=200 "
+          "cause=none\n")
+          .Cause();
+  CHECK_EQUAL(
+      "the job succeeded; it went to b, its tasks started after 35 to 35 ms "
+      "(60 ms of work were expected); 1 of its runs ended early, the last "
+      "lapsed on worker w1",
+      cause);
+}
+
 TEST(RequestHistory, unknown_request_has_no_lines) {
   CHECK(HistoryOf("").Lines().empty());
 }
