--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "Harness/lease_deployment.h"
+#include "LibCore/boot_clock.h"
 #include "Soak/loopback_proxy.h"
 
 namespace json = boost::json;
@@ -47,6 +48,8 @@
 constexpr milliseconds kPatience{2500};
 constexpr milliseconds kResendDelay{1300};
 constexpr milliseconds kLongestFault{2500};
+// After which peers take an entry's workers over (OwnershipTiming).
+constexpr milliseconds kOwnerSilence{800};
 constexpr int kMostTries = 4;
 constexpr double kServedAtEnd = 0.8;
 constexpr int kJobsAtEnd = 20;
@@ -152,7 +155,11 @@
     ++tally_.faults;
     const milliseconds time(Draw(100, static_cast<int>(kLongestFault.count())));
     const int entry = Draw(0, deployment_.entry_count());
-    switch (Draw(0, 8)) {
+    const int kind = Draw(0, 8);
+    std::ofstream(deployment_.folder() + "/faults", std::ios::app)
+        << "ts_ms=" << ClockReading::Now().wall.count() << " fault=" << kind
+        << " entry=" << entry << " for_ms=" << time.count() << '\n';
+    switch (kind) {
       case 0:
         StopEntry(entry, SIGKILL, time);
         return;
@@ -160,9 +167,7 @@
         StopEntry(entry, SIGTERM, time);
         return;
       case 2:
-        deployment_.entry(entry).Signal(SIGSTOP);
-        HealAfter(time,
-                  [this, entry] { deployment_.entry(entry).Signal(SIGCONT); });
+        Pause(entry, time);
         return;
       case 3:
         deployment_.entry(entry).Signal(SIGHUP);
@@ -199,6 +204,20 @@
     }
   }
 
+  // An entry that was paused for long learns last from the store that others
+  // own its workers: only fencing keeps its orders out.
+  void Pause(int entry, milliseconds time) {
+    deployment_.entry(entry).Signal(SIGSTOP);
+    HealAfter(time,
+              [this, entry] { deployment_.entry(entry).Signal(SIGCONT); });
+    if (time < kOwnerSilence)
+      return;
+    LoopbackProxy& store = *store_proxies_[entry];
+    store.SetFault(ProxyFault::kSilent);
+    HealAfter(time + kResendDelay,
+              [&store] { store.SetFault(ProxyFault::kNone); });
+  }
+
   void StopEntry(int entry, int signal, milliseconds down) {
     if (down_.contains(entry))
       return;
