LibLeaseEntry: End started jobs before the last shard is released

Now, when the last shard is claimed, jobs without a start are refused at once, started ones get the room that comes free within 300 ms, and are given up at once after that; the workers are released then.

Ruled out: handing the rest of a job to the successor (it would have to know which tasks are done, and their ends may still be on the way).

Before: three tests of LeaseControl red.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -52,6 +52,8 @@
   void CancelJobsOf(const std::string& home, Time now);
   // Refuses jobs of which no task was started, so that they go elsewhere.
   void RefuseQueued(JobCause cause, Time now);
+  // Ends all jobs with tasks that wait, started or not.
+  void CancelQueued(JobCause cause, Time now);
   bool HasJob(const std::string& job) const { return jobs_.contains(job); }
 
   // Answers of workers.
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -337,6 +337,14 @@
     Cancel(id, cause, now);
 }
 
+void LeaseDispatcher::CancelQueued(JobCause cause, Time now) {
+  std::vector<std::string> ids;
+  for (const auto& [latest_start, id] : queue_)
+    ids.push_back(id);
+  for (const std::string& id : ids)
+    Cancel(id, cause, now);
+}
+
 std::set<std::string> LeaseDispatcher::Homes() const {
   std::set<std::string> homes;
   for (const auto& [id, job] : jobs_)
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -15,6 +15,9 @@
 // The store has just answered a claim; if it is away again, an old list has to
 // do.
 constexpr Duration kFreshListLimit = std::chrono::milliseconds(1500);
+// Room comes free within the time of a task; most take 60 to 300 ms. The
+// successor has no use of the workers meanwhile.
+constexpr Duration kRoomWait = std::chrono::milliseconds(300);
 // Which workers this VM may order changes with heartbeats and records.
 constexpr Duration kSyncInterval = std::chrono::milliseconds(50);
 
@@ -66,7 +69,7 @@
   if (!is_known || known->second.entry != entry ||
       known->second.fencing_token != *token)
     dispatcher_.Own(entry, *token, now);
-  if (ownership_.IsReleasing(shard))
+  if (ownership_.IsReleasing(shard) && !awaits_room_)
     dispatcher_.Release(entry.id);
 }
 
@@ -101,6 +104,8 @@
 void LeaseControl::Submit(JobRequest job, Time now) {
   home_heard_[job.home] = now;
   dispatcher_.Submit(std::move(job), now);
+  if (queue_ends_since_)
+    dispatcher_.RefuseQueued(JobCause::kHandedOver, now);
 }
 
 void LeaseControl::SyncBusy() {
@@ -117,6 +122,22 @@
     ownership_.SetBusy(shard, std::move(workers));
 }
 
+// When the last shard goes, jobs without a start are refused at once; those
+// with one get the room that their other tasks wait for, within a limit.
+void LeaseControl::EndQueue(Time now) {
+  if (ownership_.ReleasingShards().empty() || ownership_.StartsAny()) {
+    queue_ends_since_.reset();
+    awaits_room_ = false;
+    return;
+  }
+  if (!queue_ends_since_)
+    queue_ends_since_ = now;
+  dispatcher_.RefuseQueued(JobCause::kHandedOver, now);
+  if (now - *queue_ends_since_ >= kRoomWait)
+    dispatcher_.CancelQueued(JobCause::kHandedOver, now);
+  awaits_room_ = dispatcher_.queued_jobs() > 0;
+}
+
 void LeaseControl::CancelJobsOfSilentHomes(Time now) {
   for (const std::string& home : dispatcher_.Homes()) {
     if (home == self_.name)
@@ -150,10 +171,10 @@
   // What a successor is told of busy workers must be as new as the release.
   if (now - synced_at_ >= kSyncInterval ||
       !ownership_.ReleasingShards().empty()) {
+    EndQueue(now);
     SyncWorkers(now);
-    SyncBusy();
-    if (!ownership_.ReleasingShards().empty() && !ownership_.StartsAny())
-      dispatcher_.RefuseQueued(JobCause::kHandedOver, now);
+    if (!awaits_room_)
+      SyncBusy();
   }
   CancelJobsOfSilentHomes(now);
   dispatcher_.Tick(now);
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,7 @@
   bool IsListFresh(const ShardId& shard, Time now) const;
   void UnlistMissing(Time now);
   void SyncBusy();
+  void EndQueue(Time now);
   void CancelJobsOfSilentHomes(Time now);
   void LoseFencedShards(Time now);
 
@@ -83,6 +85,10 @@
   std::map<std::string, Time> missing_since_;  // workers that are not listed
   std::map<std::string, Time> home_heard_;     // by jobs they sent
   Time synced_at_{};
+  // Since all shards have been claimed by their successors.
+  std::optional<Time> queue_ends_since_;
+  // Tasks of started jobs wait for room: the workers are not released yet.
+  bool awaits_room_ = false;
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -54,7 +54,7 @@
     case JobCause::kNotOwner:
       return "refused: the VM it went to owned no workers of the service";
     case JobCause::kHandedOver:
-      return "refused: the workers were being handed to another VM";
+      return "refused or given up: the workers were being handed to another VM";
     case JobCause::kDeadline:
       return "given up: its caller's deadline passed";
     case JobCause::kCancelled:
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -27,13 +27,14 @@
   std::vector<ClaimShard> claims;
   std::vector<StartOrder> starts;
   std::vector<HoldOrder> holds;
+  std::vector<FinishJob> finished;
 
   void setup() override {
     control.SetSinks(
         {.start = [this](StartOrder&& order) { starts.push_back(order); },
          .stop = [](StopOrder&&) {},
          .hold = [this](HoldOrder&& order) { holds.push_back(order); },
-         .finish = [](FinishJob&&) {},
+         .finish = [this](FinishJob&& job) { finished.push_back(job); },
          .claim = [this](ClaimShard&& claim) { claims.push_back(claim); },
          .probe = [](ProbeDataCenter&&) {}});
     control.ownership().SetShardCount("rif", 1);
@@ -45,6 +46,61 @@
     control.Tick(now);
     control.ownership().DidClaim(claims.at(0), 12, now);
   }
+
+  JobRequest MakeJob(const std::string& id, std::uint32_t tasks) {
+    return {.id = id,
+            .groups = {{.count = tasks,
+                        .each = {.millicores = 30'000},
+                        .declared_run_time = milliseconds(100)}},
+            .policy = {.name = "queue",
+                       .service = "guide",
+                       .stretch = 1.6,
+                       .target_latency = milliseconds(60)},
+            .arrived = now,
+            .deadline = now + milliseconds(5000),
+            .home = "self"};
+  }
+
+  // The worker has room for two of the three tasks.
+  void StartJobOfThreeAndLeave() {
+    ClaimShardNow();
+    control.SetWorkers({MakeWorker("a")}, now);
+    control.Tick(now);
+    AnswerHolds({});
+    control.Submit(MakeJob("job", 3), now);
+    control.Pump(now);
+    control.ownership().DidReadMember({.name = "peer",
+                                       .data_center = "rif",
+                                       .endpoint = {.ip = 1, .port = 1},
+                                       .incarnation = 3},
+                                      now);
+    control.ownership().DidHear({.name = "peer", .incarnation = 3}, now);
+    control.Leave(now);
+    control.ownership().DidReadShard(
+        {.shard = {.data_center = "rif", .index = 0},
+         .owner = "peer",
+         .owner_incarnation = 3,
+         .version = 20},
+        now);
+    control.Tick(now);
+  }
+
+  void AnswerHolds(HoldReport report) {
+    report.incarnation = 1;
+    report.clock_ms = 1000;
+    for (const HoldOrder& hold : std::exchange(holds, {}))
+      control.dispatcher().DidHold(hold, OrderAnswer::kAccepted, report, now);
+    control.Pump(now);
+  }
+
+  void EndRun(const RunId& run, std::uint64_t sequence) {
+    AnswerHolds({.ended = {{sequence, run, RunEnd::kDone}}});
+    control.Tick(now);
+  }
+
+  ShardStatus Status() {
+    return control.ownership().MakeHeartbeat({}, 0, now).shards.at(0);
+  }
 };
 
 TEST(LeaseControl, workers_of_an_owned_shard_are_held) {
@@ -128,6 +184,40 @@
   FAIL("the shard was not handed over");
 }
 
+// A job whose last task waits for room when the shard is claimed used to wait
+// for its caller's deadline (trouble-2 of anbsm-guides).
+TEST(LeaseControl, job_that_was_started_is_ended_before_its_workers_go) {
+  StartJobOfThreeAndLeave();
+  CHECK_EQUAL(2, starts.size());
+  CHECK(!Status().is_released);
+  now += milliseconds(50);
+  EndRun(starts[0].run, 1);
+  CHECK_EQUAL(3, starts.size());
+  CHECK(Status().is_released);
+  CHECK_EQUAL(1, Status().busy.size());
+  CHECK_EQUAL(0, finished.size());
+}
+
+TEST(LeaseControl, job_that_can_not_be_ended_in_time_is_given_up_at_once) {
+  StartJobOfThreeAndLeave();
+  for (int i = 0; i < 40; ++i) {
+    now += milliseconds(10);
+    control.Tick(now);
+  }
+  CHECK_EQUAL(1, finished.size());
+  CHECK(finished[0].result.outcome == JobOutcome::kGivenUp);
+  CHECK(finished[0].result.cause == JobCause::kHandedOver);
+  CHECK(Status().is_released);
+}
+
+TEST(LeaseControl, job_that_comes_while_workers_go_is_refused_at_once) {
+  StartJobOfThreeAndLeave();
+  control.Submit(MakeJob("late", 1), now);
+  control.Pump(now);
+  CHECK_EQUAL(1, finished.size());
+  CHECK(finished[0].result.outcome == JobOutcome::kRefused);
+}
+
 TEST(LeaseControl, older_configuration_is_not_put_in_force) {
   control.SetConfiguration({.version = 5}, "feed", now);
   control.SetConfiguration({.version = 4}, "feed", now);
