--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -152,15 +152,14 @@
     const Time end =
         began + std::chrono::seconds(settings_.grace_s) - kExitMargin;
     thread_.Post([this, end] { BeginLeave(end); });
-    while (BootClock::now() < end) {
-      std::this_thread::sleep_for(kIdleTick);
-      const bool has_finished =
-          RunInFiber(thread_, [this] { return HasFinished(); });
-      if (has_finished && BootClock::now() - began >= kLeastLeave)
-        break;
-    }
+    AwaitFinish(began + kLeastLeave, end);
     RunInFiber(thread_, [this, end] {
       store_->RemoveMember(end + kExitMargin / 2);
+      return true;
+    });
+    // Callers have gone on using open connections meanwhile.
+    AwaitFinish(began, end);
+    RunInFiber(thread_, [this] {
       log_.Write(LogEvent::kStopped, BootClock::now(), LogBudget::kState)
           .Add(LogField::kCount, jobs_.live_jobs());
       log_writer_.Flush();
@@ -176,6 +175,18 @@
   }
 
  private:
+  // Waits, at least until `earliest` and at most until `latest`, until nothing
+  // is in progress.
+  void AwaitFinish(Time earliest, Time latest) {
+    while (BootClock::now() < latest) {
+      const bool has_finished =
+          RunInFiber(thread_, [this] { return HasFinished(); });
+      if (has_finished && BootClock::now() >= earliest)
+        return;
+      std::this_thread::sleep_for(kBusyTick);
+    }
+  }
+
   boost::system::error_code Begin() {
     SetLogOffset();
     log_.Write(LogEvent::kStarted, BootClock::now(), LogBudget::kState)
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -195,6 +195,19 @@
       cut_off.Submit(1 - owner, IdOf(20), 1, 20'000, 20, kPatience).status);
 }
 
+// Callers use open connections until the process is gone: also while it takes
+// its record out of a slow store (trouble-1 of anbsm-guides).
+TEST(LeaseProcess, entry_that_stops_answers_its_last_caller) {
+  deployment.entry(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2200));
+  deployment.Admin({{"store", "hang"}});
+  std::this_thread::sleep_for(milliseconds(700));
+  CHECK_EQUAL(200,
+              deployment.Submit(0, IdOf(1), 1, 20'000, 800, kPatience).status);
+  deployment.Admin({{"store", "up"}});
+  CHECK_EQUAL(0, deployment.entry(0).Wait(milliseconds(7000)).value_or(-1));
+}
+
 // The grace period is 6 s; what is beyond it is slack for this test (soak, seed
 // 5).
 TEST(LeaseProcess, entry_that_is_cut_off_stops_within_its_grace_period) {
