LibLeaseEntry: Read this VM's own shards without building a heartbeat

Cause: for each request and probe of readiness the list of owners was made from a whole heartbeat, with the names of all VMs heard and all busy workers.

--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -320,6 +320,17 @@
   return it != owned_.end() && it->second.is_claimed;
 }
 
+bool Ownership::StartsAny() const {
+  return std::any_of(owned_.begin(), owned_.end(), [](const auto& entry) {
+    return !entry.second.is_claimed;
+  });
+}
+
+bool Ownership::OwnsIn(const std::string& data_center) const {
+  const auto it = owned_.lower_bound({.data_center = data_center});
+  return it != owned_.end() && it->first.data_center == data_center;
+}
+
 std::vector<ShardId> Ownership::ReleasingShards() const {
   std::vector<ShardId> releasing;
   for (const auto& [id, owned] : owned_) {
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -107,7 +107,7 @@
   bool IsReleasing(const ShardId& shard) const;
   std::vector<ShardId> ReleasingShards() const;
   // Whether there are shards that are owned and not released.
-  bool StartsAny() const { return ReleasingShards().size() < owned_.size(); }
+  bool StartsAny() const;
   // Counts offers and releases, which the successor shall hear of at once.
   std::uint64_t hand_over_steps() const { return hand_over_steps_; }
   // When the shard was claimed; it must be owned.
@@ -117,6 +117,7 @@
   // Whether a claim of this VM is on its way to the store.
   bool IsClaiming() const;
   bool OwnsAny() const { return !owned_.empty(); }
+  bool OwnsIn(const std::string& data_center) const;
   // Nothing is left to hand over.
   bool HasLeft() const { return leaving_ && owned_.empty(); }
   ShardId ShardOf(const std::string& worker,
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -216,14 +216,15 @@
     return std::any_of(shards.begin(), shards.end(),
                        [](const auto& status) { return !status.is_released; });
   };
-  const Heartbeat self = ownership_.MakeHeartbeat({}, 0, now);
-  const OwnerLoad own_load = dispatcher_.Load(now);
-  if (accepts(self.shards) && own_load.capacity_millicores > 0)
-    owners.push_back({.name = self_.name,
-                      .is_self = true,
-                      .is_near = is_near(self.shards),
-                      .is_leaving = self.leaving,
-                      .load = own_load});
+  if (ownership_.StartsAny()) {
+    const OwnerLoad load = dispatcher_.Load(now);
+    if (load.capacity_millicores > 0)
+      owners.push_back({.name = self_.name,
+                        .is_self = true,
+                        .is_near = ownership_.OwnsIn(self_.data_center),
+                        .is_leaving = ownership_.is_leaving(),
+                        .load = load});
+  }
   for (const auto& [name, peer] : ownership_.peers()) {
     if (ownership_.IsHeard(peer, now) && accepts(peer.last.shards) &&
         peer.last.load.capacity_millicores > 0)
