--- a/Tests/LibLease/ownership_test.cc
+++ b/Tests/LibLease/ownership_test.cc
@@ -40,25 +40,38 @@
                       now);
   }
 
-  void OfferShard() {
+  // The store has it that another VM owns the shard.
+  void ReadOwner(const std::string& name) {
     ownership.SetShardCount("rif", 1);
-    ownership.DidReadMember(MakeMember("peer", 3), now);
+    ownership.DidReadMember(MakeMember(name, 3), now);
+    ReadClaim(name, 10);
+  }
+
+  void ReadClaim(const std::string& name, std::uint64_t version) {
     ownership.DidReadShard({.shard = kShard,
-                            .owner = "peer",
+                            .owner = name,
                             .owner_incarnation = 3,
-                            .version = 10},
+                            .version = version},
                            now);
+  }
+
+  void OfferShard() {
+    ReadOwner("peer");
     HearOwner(false, {});
     ownership.Tick(now);
   }
 
-  // This VM owns the shard and leaves, with `peers` alive.
-  void LeaveWithPeers(const std::vector<std::string>& peers) {
+  void ClaimShardNow() {
     ownership.SetShardCount("rif", 1);
     ownership.Tick(now);
     now += milliseconds(700);
     ownership.Tick(now);
     ownership.DidClaim(ownership.TakeClaims().at(0), 12, now);
+  }
+
+  // This VM owns the shard and leaves, with `peers` alive.
+  void LeaveWithPeers(const std::vector<std::string>& peers) {
+    ClaimShardNow();
     for (const std::string& peer : peers)
       ownership.DidReadMember(MakeMember(peer, 3), now);
     HearAll(peers);
@@ -173,14 +186,8 @@
 }
 
 TEST(Ownership, silent_owner_loses_the_shard_unless_others_hear_it) {
-  ownership.SetShardCount("rif", 1);
-  ownership.DidReadMember(MakeMember("owner", 3), now);
+  ReadOwner("owner");
   ownership.DidReadMember(MakeMember("witness", 4), now);
-  ownership.DidReadShard({.shard = kShard,
-                          .owner = "owner",
-                          .owner_incarnation = 3,
-                          .version = 10},
-                         now);
   ownership.DidHear({.name = "owner",
                      .incarnation = 3,
                      .shards = {{.shard = kShard, .version = 10}}},
@@ -205,13 +212,7 @@
 
 // After a restart of all VMs none has heard any other yet.
 TEST(Ownership, owner_that_was_never_heard_has_its_time_to_speak) {
-  ownership.SetShardCount("rif", 1);
-  ownership.DidReadMember(MakeMember("owner", 3), now);
-  ownership.DidReadShard({.shard = kShard,
-                          .owner = "owner",
-                          .owner_incarnation = 3,
-                          .version = 10},
-                         now);
+  ReadOwner("owner");
   now += milliseconds(300);
   ownership.Tick(now);
   CHECK(ownership.TakeClaims().empty());
@@ -243,13 +244,7 @@
 
 // A VM that was cut off from the store and its peers reaches the store first.
 TEST(Ownership, silence_counts_from_the_return_of_the_store) {
-  ownership.SetShardCount("rif", 1);
-  ownership.DidReadMember(MakeMember("owner", 3), now);
-  ownership.DidReadShard({.shard = kShard,
-                          .owner = "owner",
-                          .owner_incarnation = 3,
-                          .version = 10},
-                         now);
+  ReadOwner("owner");
   ownership.Tick(now);
   ownership.DidLoseStore();
   for (int i = 0; i < 60; ++i) {
@@ -284,11 +279,7 @@
 
 // A weak VM that took a shard over gives it up to a stronger one.
 TEST(Ownership, shard_moves_to_a_vm_with_far_more_processors_to_spare) {
-  ownership.SetShardCount("rif", 1);
-  ownership.Tick(now);
-  now += milliseconds(700);
-  ownership.Tick(now);
-  ownership.DidClaim(ownership.TakeClaims().at(0), 12, now);
+  ClaimShardNow();
   MemberRecord equal = MakeMember("equal", 3);
   MemberRecord strong = MakeMember("strong", 3);
   strong.power = 4;
