LibLease: Keep a task from starting while its run of an earlier try stops

A second try on the same worker was not even noted, as runs are kept by task.

Now a task of a job that comes again waits until the end of its earlier run is seen, with a higher number; if that run's worker goes to another owner, the job is given up.

Ruled out: refusing the second try (the job has started: the refusal would not be true).

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -97,6 +97,8 @@
     // What a run that was stopped for being slow would have taken. One as slow
     // elsewhere shows that it is the task that is long.
     Duration projected{};
+    // A run of it in an earlier try of the job may still be there.
+    bool is_blocked = false;
   };
 
   struct Job {
@@ -120,6 +122,7 @@
   AdmissionLoad LoadAhead(const Job& job, Time now) const;
   void Schedule(Time now);
   bool StartWaiting(Job& job, Time now);
+  void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
   void StartTask(Job& job, std::size_t index, LeasedWorker& worker, Time now);
   void RefuseOverdue(Time now);
@@ -137,6 +140,7 @@
                   const HoldReport& report,
                   Time now);
   void ForgetRuns(LeasedWorker& worker, RunEnd end, Time now);
+  void Unblock(const LeasedRun& run);
   void EndRun(LeasedWorker& worker,
               const std::string& task,
               RunEnd end,
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -43,6 +43,7 @@
     job.tasks.insert(job.tasks.end(), tasks.count, Task{.group = group});
   }
   job.waiting = job.tasks.size();
+  BlockTasksThatRun(job);
   job.estimate = EstimateJob(job.request, job.run_times);
   const std::optional<JobResult> refusal = JudgeOnArrival(job, now);
   Job& kept = jobs_.emplace(id, std::move(job)).first->second;
@@ -145,9 +146,24 @@
   return load;
 }
 
+// Runs of an earlier try of the job that were told to stop, and of which it is
+// not known yet that they did.
+void LeaseDispatcher::BlockTasksThatRun(Job& job) const {
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [name, run] : worker.runs) {
+      if (!run.job.empty() || JobOf(name) != job.request.id ||
+          run.task >= job.tasks.size())
+        continue;
+      Task& task = job.tasks[run.task];
+      task.is_blocked = true;
+      task.next_run = std::max(task.next_run, run.id.number + 1);
+    }
+  }
+}
+
 bool LeaseDispatcher::IsReady(const Job& job, const Task& task) const {
   const TaskGroup& group = job.request.groups[task.group];
-  return task.state == TaskState::kWaiting &&
+  return task.state == TaskState::kWaiting && !task.is_blocked &&
          std::all_of(group.after.begin(), group.after.end(),
                      [&](std::uint32_t g) { return job.undone[g] == 0; });
 }
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -78,7 +78,7 @@
     return;
   std::set<std::string> jobs;
   for (const auto& [task, run] : it->second.runs)
-    jobs.insert(run.job);
+    jobs.insert(std::string(JobOf(task)));
   log_.Write(LogEvent::kWorkerRemoved, now, LogBudget::kState)
       .Add(LogField::kWorker, id)
       .Add(LogField::kCause, "owned_elsewhere")
@@ -86,13 +86,10 @@
   // The runs go on until the new owner stops them, so that no further run of
   // their tasks may follow here.
   workers_.erase(it);
-  for (const std::string& job : jobs) {
-    if (!job.empty())
-      Finish(
-          job,
-          {.outcome = JobOutcome::kGivenUp, .cause = JobCause::kOwnershipLost},
-          now);
-  }
+  for (const std::string& job : jobs)
+    Finish(job,
+           {.outcome = JobOutcome::kGivenUp, .cause = JobCause::kOwnershipLost},
+           now);
 }
 
 OrderTarget LeaseDispatcher::TargetOf(const LeasedWorker& worker) const {
@@ -309,6 +306,7 @@
   worker.runs.erase(it);
   schedule_due_ = true;
   ++counters_.ends[static_cast<std::size_t>(end)];
+  Unblock(run);
   const auto job_it = jobs_.find(run.job);
   log_.Write(LogEvent::kTaskEnded, now)
       .Add(LogField::kJob, run.job)
@@ -355,6 +353,14 @@
   PutBack(job, run.task);
 }
 
+// A run of an earlier try of a job no longer keeps its task from starting.
+void LeaseDispatcher::Unblock(const LeasedRun& run) {
+  const auto job = jobs_.find(std::string(JobOf(run.id.task)));
+  if (job != jobs_.end() && run.job.empty() &&
+      run.task < job->second.tasks.size())
+    job->second.tasks[run.task].is_blocked = false;
+}
+
 void LeaseDispatcher::DidFailOn(LeasedWorker& worker, Time now) {
   ++counters_.exclusions;
   worker.judgement.DidFail(now);
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibCore/boot_clock.h"
@@ -34,6 +35,11 @@
   auto operator<=>(const RunId&) const = default;
 };
 
+// The names of a job's tasks begin with its id and a dot.
+inline std::string_view JobOf(std::string_view task) {
+  return task.substr(0, task.find('.'));
+}
+
 enum class RunEnd { kDone, kFailed, kStopped, kLapsed, kBroken };
 
 inline constexpr EnumNames<RunEnd, 5> kRunEndNames{
--- a/Tests/LibDispatch/guarantees_test.cc
+++ b/Tests/LibDispatch/guarantees_test.cc
@@ -3,11 +3,10 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include "Harness/proof.h"
 #include "broken_safeguards.h"
 #include "dispatch_world.h"
 
@@ -15,21 +14,9 @@
 
 namespace {
 
-constexpr int kDefaultCases = 60;
 constexpr int kBrokenCases = 300;
 constexpr std::uint64_t kSeed = 20261203;
 
-int CasesFromEnvironment() {
-  const char* text = std::getenv("MUSTARDBANK_PROOF_CASES");
-  return text ? std::atoi(text) : kDefaultCases;
-}
-
-// Draws from the whole range, whatever the size of the case.
-template <typename T>
-rc::Gen<T> InRange(T least, T beyond) {
-  return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, beyond));
-}
-
 rc::Gen<Fault> GenFault(std::vector<FaultKind> kinds) {
   return rc::gen::build<Fault>(
       rc::gen::set(&Fault::kind, rc::gen::elementOf(std::move(kinds))),
@@ -120,20 +107,10 @@
   return result;
 }
 
-void Record(Guarantee guarantee, const ProofResult& result) {
-  const char* file = std::getenv("MUSTARDBANK_PROOF_FILE");
-  if (!file)
-    return;
-  std::ofstream(file, std::ios::app)
-      << R"({"name":")" << kGuaranteeNames[guarantee] << R"(","cases":)"
-      << result.cases << R"(,"faults":)" << result.faults << R"(,"violations":)"
-      << result.violations << "}\n";
-}
-
 void Holds(Guarantee guarantee) {
-  const ProofResult result =
-      Prove<StandardSafeguards>(guarantee, CasesFromEnvironment());
-  Record(guarantee, result);
+  const ProofResult result = Prove<StandardSafeguards>(guarantee, ProofCases());
+  RecordProof(kGuaranteeNames[guarantee], result.cases, result.faults,
+              result.violations);
   if (result.violations > 0)
     FAIL(("shortest trace found:\n" + result.trace).c_str());
 }
@@ -142,8 +119,9 @@
 template <Safeguards Guards>
 void FailsWithout(Guarantee guarantee) {
   const ProofResult result = Prove<Guards>(guarantee, kBrokenCases);
-  Record(guarantee, result);
-  if (std::getenv("MUSTARDBANK_PROOF_FILE"))
+  RecordProof(kGuaranteeNames[guarantee], result.cases, result.faults,
+              result.violations);
+  if (ProofFile())
     std::cerr << result.trace;
   CHECK_TRUE(result.violations > 0);
 }
--- a/Tests/LibEntry/process_test.cc
+++ b/Tests/LibEntry/process_test.cc
@@ -9,13 +9,12 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <cstdlib>
-#include <fstream>
 #include <future>
 #include <map>
 #include <thread>
 
 #include "Harness/deployment.h"
+#include "Harness/proof.h"
 #include "LibCore/boot_clock.h"
 #include "LibLoad/load_generator.h"
 
@@ -52,12 +51,7 @@
   }
 
   void Finish() const {
-    if (const char* file = std::getenv("MUSTARDBANK_PROOF_FILE")) {
-      std::ofstream(file, std::ios::app)
-          << R"({"name":")" << name_ << R"(","cases":)" << cases_
-          << R"(,"faults":)" << faults_ << R"(,"violations":)" << violations_
-          << "}\n";
-    }
+    RecordProof(name_, cases_, faults_, violations_);
     if (violations_ > 0)
       FAIL(text_.c_str());
   }
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -194,6 +194,44 @@
   }
 }
 
+// A job may come again while runs of its last try are being stopped (soak, seed
+// 222).
+TEST(LeaseDispatcher, task_waits_for_the_end_of_its_run_in_the_try_before) {
+  fixture.OwnVerified(MakeWorker("a"));
+  fixture.OwnVerified(MakeWorker("b"));
+  fixture.Submit(MakeJob("job", fixture.now));
+  const RunId first = fixture.starts.at(0).run;
+  fixture.AnswerStarts(OrderAnswer::kAccepted);
+  fixture.dispatcher.Cancel("job", JobCause::kCancelled, fixture.now);
+  fixture.Pump();
+  fixture.Submit(MakeJob("job", fixture.now));
+  CHECK_EQUAL(0, fixture.starts.size());
+  fixture.dispatcher.DidStop(fixture.stops.at(0), OrderAnswer::kAccepted,
+                             fixture.now);
+  fixture.Advance(milliseconds(50));
+  fixture.AnswerHolds({.ended = {{1, first, RunEnd::kStopped}}});
+  CHECK_EQUAL(1, fixture.starts.size());
+  CHECK(fixture.starts[0].run.task == first.task);
+  CHECK(fixture.starts[0].run.number > first.number);
+}
+
+// The worker's next owner stops that run, at a time that is not known here.
+TEST(LeaseDispatcher, job_whose_earlier_run_goes_to_another_owner_is_given_up) {
+  fixture.OwnVerified(MakeWorker("a"));
+  fixture.OwnVerified(MakeWorker("b"));
+  fixture.Submit(MakeJob("job", fixture.now));
+  const std::string worker = fixture.starts.at(0).target.worker;
+  fixture.AnswerStarts(OrderAnswer::kAccepted);
+  fixture.dispatcher.Cancel("job", JobCause::kCancelled, fixture.now);
+  fixture.Submit(MakeJob("job", fixture.now));
+  fixture.finished.clear();
+  fixture.dispatcher.Disown(worker, fixture.now);
+  fixture.Pump();
+  CHECK_EQUAL(0, fixture.starts.size());
+  CHECK_EQUAL(1, fixture.finished.size());
+  CHECK(fixture.finished[0].result.cause == JobCause::kOwnershipLost);
+}
+
 // A run on a slow worker is moved to one that is not, however often.
 TEST(LeaseDispatcher, run_far_slower_than_the_one_before_is_moved_again) {
   for (const char* worker : {"a", "b", "c"})
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -3,32 +3,19 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include "Harness/proof.h"
 #include "lease_world.h"
 
 namespace mustardbank {
 
 namespace {
 
-constexpr int kDefaultCases = 60;
 constexpr int kBrokenCases = 400;
 constexpr std::uint64_t kSeed = 20261204;
 
-int CasesFromEnvironment() {
-  const char* text = std::getenv("MUSTARDBANK_PROOF_CASES");
-  return text ? std::atoi(text) : kDefaultCases;
-}
-
-// Draws from the whole range, whatever the size of the case.
-template <typename T>
-rc::Gen<T> InRange(T least, T beyond) {
-  return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, beyond));
-}
-
 rc::Gen<LeaseFault> GenFault(const std::vector<LeaseFaultKind>& kinds) {
   return rc::gen::build<LeaseFault>(
       rc::gen::set(&LeaseFault::kind, rc::gen::elementOf(kinds)),
@@ -117,22 +104,13 @@
   return result.template is<rc::detail::SuccessResult>() ? 0 : 1;
 }
 
-void Report(LeaseGuarantee guarantee, const Tally& tally, int violations) {
-  const char* file = std::getenv("MUSTARDBANK_PROOF_FILE");
-  if (!file)
-    return;
-  std::ofstream(file, std::ios::app)
-      << R"({"name":")" << kLeaseGuaranteeNames[guarantee] << R"(","cases":)"
-      << tally.cases << R"(,"faults":)" << tally.faults << R"(,"violations":)"
-      << violations << "}\n";
-}
-
 void Holds(LeaseGuarantee guarantee) {
   Tally tally;
   std::string first;
-  const int violations = CountViolations(guarantee, LeaseBreak::kNone,
-                                         CasesFromEnvironment(), tally, first);
-  Report(guarantee, tally, violations);
+  const int violations =
+      CountViolations(guarantee, LeaseBreak::kNone, ProofCases(), tally, first);
+  RecordProof(kLeaseGuaranteeNames[guarantee], tally.cases, tally.faults,
+              violations);
   std::cout << kLeaseGuaranteeNames[guarantee] << ": " << tally.cases
             << " cases, " << tally.faults << " faults, " << tally.starts
             << " starts, " << tally.succeeded << " jobs\n";
@@ -146,7 +124,8 @@
   std::string first;
   const int violations =
       CountViolations(guarantee, broken, kBrokenCases, tally, first);
-  Report(guarantee, tally, violations);
+  RecordProof(kLeaseGuaranteeNames[guarantee], tally.cases, tally.faults,
+              violations);
   CHECK_EQUAL(1, violations);
 }
 
