Tests: Close the test's sockets in the processes that it starts

Shown by the test caller_that_leaves_is_noticed_though_a_process_was_started, red without the closing and green with it. The product starts no processes.

Ruled out: the server's watch on the connection (the test caller_that_leaves_after_a_pause_has_its_job_stopped passed before).

--- a/Tests/Harness/child_process.cc
+++ b/Tests/Harness/child_process.cc
@@ -81,6 +81,8 @@
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  // A socket that a child inherits stays open after this process closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments)
--- /dev/null
+++ b/Tests/Harness/proof.h
@@ -0,0 +1,43 @@
+// What the properties of the guarantees share: how many cases they play, how
+// they draw, and the record that `Meta/mustardbank.sh prove` reads.
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <string_view>
+
+namespace mustardbank {
+
+inline int ProofCases() {
+  constexpr int kDefaultCases = 60;
+  const char* text = std::getenv("MUSTARDBANK_PROOF_CASES");
+  return text ? std::atoi(text) : kDefaultCases;
+}
+
+inline const char* ProofFile() {
+  return std::getenv("MUSTARDBANK_PROOF_FILE");
+}
+
+// Draws from the whole range, whatever the size of the case.
+template <typename T>
+rc::Gen<T> InRange(T least, T beyond) {
+  return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(least, beyond));
+}
+
+inline void RecordProof(std::string_view guarantee,
+                        int cases,
+                        std::uint64_t faults,
+                        std::uint64_t violations) {
+  const char* file = ProofFile();
+  if (!file)
+    return;
+  std::ofstream(file, std::ios::app)
+      << R"({"name":")" << guarantee << R"(","cases":)" << cases
+      << R"(,"faults":)" << faults << R"(,"violations":)" << violations
+      << "}\n";
+}
+
+}  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -2,6 +2,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 #include "Harness/lease_deployment.h"
@@ -195,6 +197,41 @@
       cut_off.Submit(1 - owner, IdOf(20), 1, 20'000, 20, kPatience).status);
 }
 
+// The job's deadline counts from when the entry reads it, so that after a pause
+// only the caller's leaving ends it in time (soak, seed 222).
+TEST(LeaseProcess, caller_that_leaves_after_a_pause_has_its_job_stopped) {
+  deployment.entry(0).Signal(SIGSTOP);
+  std::thread caller([this] {
+    CHECK_EQUAL(
+        0, deployment.Submit(0, IdOf(1), 3, 20'000, 4000, milliseconds(2500))
+               .status);
+  });
+  std::this_thread::sleep_for(milliseconds(1700));
+  deployment.entry(0).Signal(SIGCONT);
+  caller.join();
+  std::this_thread::sleep_for(milliseconds(1300));
+  deployment.Submit(1, IdOf(1), 3, 20'000, 100, kPatience);
+}
+
+// A process that the test starts meanwhile must not keep the caller's
+// connection open (soak, seed 222).
+TEST(LeaseProcess, caller_that_leaves_is_noticed_though_a_process_was_started) {
+  std::thread caller([this] {
+    HttpRequest request = Post(
+        "/jobs/" + IdOf(1),
+        R"({"spec":"20000 4000","bestEffort":true,"steps":[{"count":1,"cpu":20000,"memMb":16,"estimateMs":4000}]})");
+    request.headers.emplace_back("X-Mustardbank-Deadline-Ms", "5000");
+    deployment.Call(0, request, milliseconds(1000));
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  const ChildProcess other({"/bin/sleep", "5"}, "/dev/null", milliseconds(0));
+  caller.join();
+  std::this_thread::sleep_for(milliseconds(300));
+  std::ifstream log(deployment.folder() + "/entry0.log");
+  const std::string text(std::istreambuf_iterator<char>(log), {});
+  CHECK(text.find("cause=cancelled") != std::string::npos);
+}
+
 // Callers use open connections until the process is gone: also while it takes
 // its record out of a slow store (trouble-1 of anbsm-guides).
 TEST(LeaseProcess, entry_that_stops_answers_its_last_caller) {
