LibHttp: Tell handlers of callers that left before their request was read

Cause: a process that was paused reads requests of callers who are long gone, and learns of their leaving a moment later.

Now the server looks for the end of the connection before it calls the handler, and a job whose home has gone is not started.

Ruled out: the age of a request (clocks of VMs differ); not covered: a connection that was cut in silence meanwhile.

Before: test tell_handlers_of_callers_that_left_before_they_were_read red.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -1,11 +1,14 @@
 #include "LibHttp/http_server.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
+#include <cerrno>
 #include <optional>
 
 #include "LibFiber/await.h"
@@ -45,6 +48,7 @@
   void StartRead();
   bool WaitForFirstByte();
   std::optional<HttpRequest> ReadRequest(bool& keep_alive);
+  bool HasCallerLeft();
   bool Write(HttpResponse&& response, bool keep_alive);
   void RefuseMalformed(beast::error_code error);
   void DiscardRest();
@@ -144,6 +148,17 @@
     DiscardRest();
 }
 
+// Whether the connection ended before its request was read: this process may
+// have been paused.
+bool HttpSession::HasCallerLeft() {
+  if (buffer.size() > 0)
+    return false;
+  char next = 0;
+  const ssize_t bytes = ::recv(stream.socket().native_handle(), &next, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 bool HttpSession::Write(HttpResponse&& response, bool keep_alive) {
   http::response<http::string_body> message;
   message.version(11);
@@ -171,6 +186,8 @@
   stream.expires_never();
   ++server.requests_;
   CallerWatch caller;
+  if (HasCallerLeft())
+    caller.DidLeave();
   watch = &caller;
   if (buffer.size() == 0)
     StartRead();
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -33,8 +33,12 @@
 class CallerWatch {
  public:
   // `leave` is called at most once, on the connection's thread, if the caller
-  // leaves before the handler has returned.
-  void OnLeave(std::function<void()> leave) { leave_ = std::move(leave); }
+  // leaves before the handler has returned; at once if it left before.
+  void OnLeave(std::function<void()> leave) {
+    leave_ = std::move(leave);
+    if (has_left_)
+      DidLeave();
+  }
   bool has_left() const { return has_left_; }
 
  private:
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -172,6 +172,8 @@
   std::set<std::string> tried;
   JobResult result = Refusal(JobCause::kNoOwner);
   AwaitOwner(job, home);
+  if (home.is_cancelled)
+    return Refusal(JobCause::kCancelled);
   for (int i = 0; i < kMostOwnersTried && !home.is_cancelled; ++i) {
     const Time now = BootClock::now();
     const std::string owner =
@@ -341,6 +343,9 @@
         .Add(LogField::kReason, "a peer's job can't be read");
     return ProblemResponse(400, "Malformed job", "The job did not run.");
   }
+  // Its home has given the job up, and its caller may have sent it elsewhere.
+  if (caller.has_left())
+    return {.body = EncodeJobResult(Refusal(JobCause::kCancelled))};
   if (!CanEndBefore(*job, exit_, now))
     return {.body = EncodeJobResult(Refusal(JobCause::kLeaving))};
   caller.OnLeave([this, id = job->id, home = job->home] {
--- a/Tests/LibHttp/http_test.cc
+++ b/Tests/LibHttp/http_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -133,6 +134,34 @@
   STRCMP_CONTAINS("\r\n\r\nhi", client.ReceiveAll().c_str());
 }
 
+// A process that was paused reads requests of callers who are long gone.
+TEST(HttpServers, tell_handlers_of_callers_that_left_before_they_were_read) {
+  static std::promise<bool> told;
+  static HttpServer& watching = *new HttpServer(
+      HttpServerLimits{}, [](HttpRequest&& /*request*/, CallerWatch& caller) {
+        bool was_called = false;
+        caller.OnLeave([&was_called] { was_called = true; });
+        told.set_value(caller.has_left() && was_called);
+        return HttpResponse{};
+      });
+  const Endpoint at = boost::leaf::try_handle_all(
+      [&] { return watching.Listen({&thread}, kAnyPort); },
+      [] { return Endpoint{}; });
+  std::promise<void> is_paused;
+  std::promise<void> goes_on;
+  thread.Post([&] {
+    is_paused.set_value();
+    goes_on.get_future().wait();
+  });
+  is_paused.get_future().wait();
+  {
+    const RawClient client(at);
+    client.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi");
+  }
+  goes_on.set_value();
+  CHECK_TRUE(told.get_future().get());
+}
+
 TEST(HttpServers, answer_the_last_request_while_draining) {
   RunInFiber(thread, [&] {
     HttpConnection connection(thread.io());
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -213,6 +213,20 @@
   deployment.Submit(1, IdOf(1), 3, 20'000, 100, kPatience);
 }
 
+// What an entry reads after a pause may be given up long ago, and sent again
+// elsewhere.
+TEST(LeaseProcess, job_whose_caller_left_during_a_pause_is_not_started) {
+  deployment.entry(0).Signal(SIGSTOP);
+  CHECK_EQUAL(
+      0,
+      deployment.Submit(0, IdOf(1), 3, 20'000, 100, milliseconds(400)).status);
+  deployment.entry(0).Signal(SIGCONT);
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(1)));
+  CHECK_EQUAL(200,
+              deployment.Submit(0, IdOf(2), 1, 20'000, 20, kPatience).status);
+}
+
 // A process that the test starts meanwhile must not keep the caller's
 // connection open (soak, seed 222).
 TEST(LeaseProcess, caller_that_leaves_is_noticed_though_a_process_was_started) {
