--- a/Libraries/LibEntry/worker_client.cc
+++ b/Libraries/LibEntry/worker_client.cc
@@ -12,10 +12,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{300};
 // Idle connections kept to a worker: as many as its slots, so that seven entry
 // VMs stay within its 64 connections.
-constexpr std::size_t kMaxIdle = 8;
+constexpr ConnectionPool::Limits kPoolLimits{
+    .idle = 8,
+    .connect_timeout = std::chrono::milliseconds(300)};
 
 std::string FormatAttempt(const AttemptId& id) {
   return id.home.endpoint.ToString() + '/' +
@@ -85,9 +86,9 @@
 WorkerClient::WorkerClient(boost::asio::io_context& io,
                            std::string data_center,
                            DidEnd did_end)
-    : io_(io),
-      data_center_(std::move(data_center)),
-      did_end_(std::move(did_end)) {}
+    : data_center_(std::move(data_center)),
+      did_end_(std::move(did_end)),
+      pool_(io, kPoolLimits) {}
 
 void WorkerClient::Start(StartTask task) {
   ++attempts_;
@@ -110,7 +111,9 @@
 HttpResult<AttemptEnded> WorkerClient::Exchange(const StartTask& task) {
   AttemptEnded ended{
       .sent = task.attempt, .answered = task.attempt, .worker = task.worker};
-  HttpResult<std::unique_ptr<HttpConnection>> acquired = Acquire(task);
+  NoteEndpoint(task);
+  HttpResult<std::unique_ptr<HttpConnection>> acquired =
+      pool_.Acquire(task.endpoint);
   if (!acquired)
     return acquired.error();
   std::unique_ptr<HttpConnection> connection = std::move(*acquired);
@@ -141,36 +144,17 @@
   ended.result = ResultOf(*response);
   ended.body = ToJsonText(*response);
   // A connection that answered for another attempt is out of step.
-  Pool& pool = PoolOf(task);
-  if (ended.answered == task.attempt && pool.idle.size() < kMaxIdle)
-    pool.idle.push_back(std::move(connection));
+  if (ended.answered == task.attempt)
+    pool_.Release(task.endpoint, std::move(connection));
   return ended;
 }
 
-WorkerClient::Pool& WorkerClient::PoolOf(const StartTask& task) {
-  Pool& pool = pools_[task.worker];
-  if (pool.endpoint != task.endpoint) {
-    pool.idle.clear();
-    pool.endpoint = task.endpoint;
-  }
-  return pool;
-}
-
-HttpResult<std::unique_ptr<HttpConnection>> WorkerClient::Acquire(
-    const StartTask& task) {
-  Pool& pool = PoolOf(task);
-  while (!pool.idle.empty()) {
-    auto connection = std::move(pool.idle.back());
-    pool.idle.pop_back();
-    if (connection->IsReusable())
-      return connection;
-  }
-  auto connection = std::make_unique<HttpConnection>(io_);
-  const HttpResult<void> connected =
-      connection->Connect(task.endpoint, kConnectTimeout);
-  if (!connected)
-    return connected.error();
-  return connection;
+void WorkerClient::NoteEndpoint(const StartTask& task) {
+  Endpoint& known = endpoints_[task.worker];
+  if (known == task.endpoint)
+    return;
+  pool_.Forget(known);
+  known = task.endpoint;
 }
 
 }  // namespace mustardbank
--- a/Libraries/LibEntry/worker_client.h
+++ b/Libraries/LibEntry/worker_client.h
@@ -4,13 +4,11 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "LibDispatch/events.h"
 #include "LibFiber/fiber_pool.h"
-#include "LibHttp/http_client.h"
+#include "LibHttp/connection_pool.h"
 
 namespace mustardbank {
 
@@ -28,21 +26,15 @@
   std::size_t attempts() const { return attempts_; }
 
  private:
-  struct Pool {
-    Endpoint endpoint;
-    std::vector<std::unique_ptr<HttpConnection>> idle;
-  };
-
   AttemptEnded Run(const StartTask& task);
   HttpResult<AttemptEnded> Exchange(const StartTask& task);
-  HttpResult<std::unique_ptr<HttpConnection>> Acquire(const StartTask& task);
-  Pool& PoolOf(const StartTask& task);
+  void NoteEndpoint(const StartTask& task);
 
-  boost::asio::io_context& io_;
   const std::string data_center_;
   const DidEnd did_end_;
   FiberPool fibers_;
-  std::map<std::string, Pool> pools_;
+  ConnectionPool pool_;
+  std::map<std::string, Endpoint> endpoints_;  // by worker
   std::size_t attempts_ = 0;
 };
 
--- a/Libraries/LibLoad/load_generator.cc
+++ b/Libraries/LibLoad/load_generator.cc
@@ -15,7 +15,7 @@
 
 #include "LibFiber/fiber_pool.h"
 #include "LibFiber/fiber_thread.h"
-#include "LibHttp/http_client.h"
+#include "LibHttp/connection_pool.h"
 
 namespace json = boost::json;
 
@@ -27,10 +27,11 @@
 using SteadyTime = SteadyClock::time_point;
 
 constexpr std::size_t kIdsAtOnce = 50;
-constexpr std::size_t kMaxIdleConnections = 512;
 constexpr std::chrono::milliseconds kShortestRetry{20};
 constexpr std::chrono::milliseconds kLongestRetry{1000};
-constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr ConnectionPool::Limits kPoolLimits{
+    .idle = 512,
+    .connect_timeout = std::chrono::milliseconds(500)};
 constexpr std::chrono::milliseconds kPollInterval{20};
 
 double MillisecondsSince(SteadyTime start) {
@@ -135,7 +136,7 @@
   CallerThread(const LoadPlan& plan, RunState& state)
       : plan_(plan),
         state_(state),
-        connections_(plan.entries.size()),
+        pool_(thread_.io(), kPoolLimits),
         ids_(plan.entries.size()) {}
 
   void Send(DrawnJob job) {
@@ -145,8 +146,6 @@
   }
 
  private:
-  using Connection = std::unique_ptr<HttpConnection>;
-
   enum class Ending { kComplete, kFailed, kRefused, kCancelled, kUnanswered };
 
   struct Outcome {
@@ -160,24 +159,10 @@
                                        HttpRequest request,
                                        std::chrono::milliseconds timeout) {
     request.headers.emplace_back("Authorization", "Bearer " + plan_.token);
-    std::vector<Connection>& idle = connections_[entry];
-    Connection connection;
-    while (!idle.empty() && !connection) {
-      connection = std::move(idle.back());
-      idle.pop_back();
-      if (!connection->IsReusable())
-        connection.reset();
-    }
-    if (!connection) {
-      connection = std::make_unique<HttpConnection>(thread_.io());
-      if (!connection->Connect(plan_.entries[entry], kConnectTimeout))
-        return std::nullopt;
-    }
-    HttpResult<HttpResponse> response = connection->Exchange(request, timeout);
+    HttpResult<HttpResponse> response =
+        pool_.Exchange(plan_.entries[entry], request, timeout);
     if (!response)
       return std::nullopt;
-    if (idle.size() < kMaxIdleConnections)
-      idle.push_back(std::move(connection));
     return std::move(*response);
   }
 
@@ -385,7 +370,7 @@
   RunState& state_;
   FiberThread thread_;
   FiberPool fibers_;
-  std::vector<std::vector<Connection>> connections_;
+  ConnectionPool pool_;
   std::vector<std::vector<std::string>> ids_;
 };
 
