Services: Share what the commands of both daemons do

Cause: both blocked signals and turned errors of the start into exit codes with the same lines. Behaviour as before.

--- a/Services/Mustardbank/entry_command.cc
+++ b/Services/Mustardbank/entry_command.cc
@@ -1,6 +1,5 @@
 // mustardbank entry: the daemon of one entry VM.
 #include <glog/logging.h>
-#include <pthread.h>
 #include <sysexits.h>
 
 #include <boost/json/object.hpp>
@@ -11,9 +10,9 @@
 #include <iostream>
 
 #include "LibConfig/settings.h"
-#include "LibEntry/entry_error.h"
 #include "LibEntry/entry_process.h"
 #include "Mustardbank/commands.h"
+#include "Mustardbank/daemon_command.h"
 
 namespace json = boost::json;
 namespace leaf = boost::leaf;
@@ -22,14 +21,6 @@
 
 namespace {
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
 void PrintEndpoints(const EntryEndpoints& endpoints) {
   std::cout << json::serialize(
                    json::object{{"callers", endpoints.callers.ToString()},
@@ -44,10 +35,7 @@
     FLAGS_log_dir = settings.log_directory;
     FLAGS_logtostderr = false;
   }
-  // Blocked before any thread starts, so that only sigwait sees them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = BlockSignals({SIGTERM, SIGINT});
   const std::string name = settings.name;
   BOOST_LEAF_AUTO(process, EntryProcess::Start(std::move(settings)));
   PrintEndpoints(process->endpoints());
@@ -66,17 +54,7 @@
 }  // namespace
 
 int RunEntryCommand(const Arguments& arguments) {
-  return leaf::try_handle_all(
-      [&] { return Run(arguments.at("SETTINGS").asString()); },
-      [](const ConfigError& error) {
-        std::cerr << error.ToString() << '\n';
-        return EX_CONFIG;
-      },
-      [](const StartError& error) {
-        std::cerr << error.reason << '\n';
-        return EX_UNAVAILABLE;
-      },
-      [] { return EX_SOFTWARE; });
+  return RunDaemon([&] { return Run(arguments.at("SETTINGS").asString()); });
 }
 
 }  // namespace mustardbank
