LibLease: Say in one place what was said twice

Cause: three loops that cancel jobs (two of them alike now), two sums of declared run times, two checks of a predecessor's release, the job of a task by its name; a count of heartbeats that nothing read.

--- a/Libraries/LibLease/admission.cc
+++ b/Libraries/LibLease/admission.cc
@@ -50,12 +50,9 @@
 }
 
 Duration OwnerPatience(const JobRequest& job) {
-  Duration chain{};
-  for (const TaskGroup& group : job.groups)
-    chain += group.declared_run_time;
-  const Duration slack =
-      job.policy.target_latency +
-      FromMilliseconds((job.policy.stretch - 1) * ToMilliseconds(chain));
+  const Duration slack = job.policy.target_latency +
+                         FromMilliseconds((job.policy.stretch - 1) *
+                                          ToMilliseconds(DeclaredRunTime(job)));
   return std::clamp(slack, Duration{}, kMostOwnerPatience);
 }
 
--- a/Libraries/LibLease/job.h
+++ b/Libraries/LibLease/job.h
@@ -47,6 +47,14 @@
   std::string home;  // the entry VM that answers the caller
 };
 
+// Of all groups one after the other, as declared.
+inline Duration DeclaredRunTime(const JobRequest& job) {
+  Duration run_time{};
+  for (const TaskGroup& group : job.groups)
+    run_time += group.declared_run_time;
+  return run_time;
+}
+
 enum class JobOutcome {
   kSucceeded,
   kFailed,   // a task used up its attempts
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -126,6 +126,8 @@
   bool IsReady(const Job& job, const Task& task) const;
   void StartTask(Job& job, std::size_t index, LeasedWorker& worker, Time now);
   void RefuseOverdue(Time now);
+  template <typename Predicate>
+  void CancelIf(Predicate predicate, JobCause cause, Time now);
   void FinishIfDone(Job& job, Time now);
   void Finish(const std::string& job, JobResult result, Time now);
   void PutBack(Job& job, std::size_t index);
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -333,31 +333,29 @@
          now);
 }
 
-void LeaseDispatcher::CancelJobsOf(const std::string& home, Time now) {
+template <typename Predicate>
+void LeaseDispatcher::CancelIf(Predicate predicate, JobCause cause, Time now) {
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) {
-    if (job.request.home == home)
+    if (predicate(job))
       ids.push_back(id);
   }
   for (const std::string& id : ids)
-    Cancel(id, JobCause::kHomeSilent, now);
+    Cancel(id, cause, now);
+}
+
+void LeaseDispatcher::CancelJobsOf(const std::string& home, Time now) {
+  CancelIf([&](const Job& job) { return job.request.home == home; },
+           JobCause::kHomeSilent, now);
 }
 
 void LeaseDispatcher::RefuseQueued(JobCause cause, Time now) {
-  std::vector<std::string> ids;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.was_started)
-      ids.push_back(id);
-  }
-  for (const std::string& id : ids)
-    Cancel(id, cause, now);
+  CancelIf([](const Job& job) { return !job.was_started; }, cause, now);
 }
 
 void LeaseDispatcher::CancelQueued(JobCause cause, Time now) {
-  std::vector<std::string> ids;
-  for (const auto& [latest_start, id] : queue_)
-    ids.push_back(id);
-  for (const std::string& id : ids)
+  const std::set<QueueKey> queued = queue_;
+  for (const auto& [latest_start, id] : queued)
     Cancel(id, cause, now);
 }
 
--- a/Libraries/LibLease/leaving.h
+++ b/Libraries/LibLease/leaving.h
@@ -3,8 +3,6 @@
 // outlive it is refused at once, and not cut off.
 #pragma once
 
-#include <algorithm>
-
 #include "LibLease/job.h"
 
 namespace mustardbank {
@@ -13,10 +11,9 @@
 inline constexpr int kDeclarationMargin = 3;
 
 inline bool CanEndBefore(const JobRequest& job, Time exit, Time now) {
-  Duration chain{};
-  for (const TaskGroup& group : job.groups)
-    chain += group.declared_run_time;
-  return now + kDeclarationMargin * chain + job.policy.target_latency <= exit;
+  return now + kDeclarationMargin * DeclaredRunTime(job) +
+             job.policy.target_latency <=
+         exit;
 }
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -128,7 +128,6 @@
   peer.record.incarnation = heartbeat.incarnation;
   peer.last = heartbeat;
   peer.heard = now;
-  ++peer.heartbeats;
   // The store may be away, and with it the record of the claim.
   for (auto& [id, owned] : owned_) {
     const ShardStatus* status = FindStatus(heartbeat, id);
@@ -351,13 +350,16 @@
   const ShardStatus* status = PredecessorStatus(id, owned, now);
   if (!status)
     return owned.version;
-  const bool is_busy = status->successor != self_.name ||
-                       !status->is_released ||
+  const bool is_busy = !IsReleasedToSelf(*status) ||
                        std::find(status->busy.begin(), status->busy.end(),
                                  worker) != status->busy.end();
   return is_busy ? std::nullopt : std::optional(owned.version);
 }
 
+bool Ownership::IsReleasedToSelf(const ShardStatus& status) const {
+  return status.successor == self_.name && status.is_released;
+}
+
 // What the owner before says of the shard; null once it has none of it.
 const ShardStatus* Ownership::PredecessorStatus(const ShardId& id,
                                                 const Owned& owned,
@@ -410,8 +412,7 @@
     return;
   // The next owner hears of busy workers from this VM alone.
   const ShardStatus* status = PredecessorStatus(id, owned, now);
-  if (status && (status->successor != self_.name || !status->is_released ||
-                 !status->busy.empty()))
+  if (status && (!IsReleasedToSelf(*status) || !status->busy.empty()))
     return;
   if (!owned.successor.empty()) {
     const auto it = peers_.find(owned.successor);
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -133,7 +133,6 @@
     Time heard;  // time_point::min() before the first heartbeat
     Time in_sight_since;
     bool was_lost = false;
-    std::uint64_t heartbeats = 0;
   };
   const std::map<std::string, Peer>& peers() const { return peers_; }
   // Whether the VM sent a heartbeat lately.
@@ -183,6 +182,7 @@
   const ShardStatus* PredecessorStatus(const ShardId& id,
                                        const Owned& owned,
                                        Time now) const;
+  bool IsReleasedToSelf(const ShardStatus& status) const;
   bool HasBetterOwner(const ShardId& id, Time now) const;
   // None of `passed_over`; "" if there is no other.
   std::string ChooseSuccessor(const ShardId& id,
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "LibLease/job.h"
+#include "LibLease/worker_report.h"
 
 namespace mustardbank {
 
@@ -133,7 +134,7 @@
 
 bool RequestHistory::Concerns(const LogRecord& record) const {
   return record.Field(LogField::kJob) == job_ ||
-         record.Field(LogField::kTask).starts_with(job_ + '.');
+         JobOf(record.Field(LogField::kTask)) == job_;
 }
 
 void RequestHistory::Read(std::istream& file) {
