LibLease: Don't charge a VM's own workers for the jobs it sends there

Cause: a home subtracts what it sent to an owner since that owner's last load report. No report of its own load ever arrives, so its own VM looked fuller with each job, and jobs went to other data centres.

Change: the load of the VM's own workers is current, and nothing is subtracted.

Test: a home stays with its own workers while they have room; it was red before.

--- a/Libraries/LibLease/router.cc
+++ b/Libraries/LibLease/router.cc
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-std::int64_t Router::SentTo(const std::string& owner) const {
-  const auto it = sent_.find(owner);
-  return it == sent_.end() ? 0 : it->second;
+std::int64_t Router::SentTo(const RouterCandidate& owner) const {
+  const auto it = sent_.find(owner.name);
+  return owner.is_self || it == sent_.end() ? 0 : it->second;
 }
 
 void Router::DidSend(const std::string& owner, std::int64_t millicores) {
@@ -40,7 +40,7 @@
         std::max<std::int64_t>(1, load.capacity_millicores));
     const auto spare_millicores =
         static_cast<double>(load.free_millicores - load.queued_millicores -
-                            SentTo(candidate.name) - millicores);
+                            SentTo(candidate) - millicores);
     const double spare_share = spare_millicores / capacity;
     // All owners with enough spare capacity score the same; of the others, the
     // one that lacks least is best.
--- a/Libraries/LibLease/router.h
+++ b/Libraries/LibLease/router.h
@@ -36,13 +36,12 @@
                      const std::set<std::string>& tried);
 
   // Work sent since an owner's last load report is subtracted from the free
-  // capacity in that report.
+  // capacity in that report. The load of this VM's own workers is current.
   void DidSend(const std::string& owner, std::int64_t millicores);
   void DidReport(const std::string& owner) { sent_.erase(owner); }
+  std::int64_t SentTo(const RouterCandidate& owner) const;
 
  private:
-  std::int64_t SentTo(const std::string& owner) const;
-
   std::map<std::string, std::int64_t> sent_;
   std::mt19937_64 random_;
 };
--- a/Tests/LibLease/router_test.cc
+++ b/Tests/LibLease/router_test.cc
@@ -60,4 +60,17 @@
       router.Choose(owners, 256'000, {"owner0", "owner1", "owner2"}).c_str());
 }
 
+// The load of this VM's own workers is always current, and no report of it ever
+// arrives. A home must not take its own VM for full after some jobs.
+TEST(Router, own_workers_are_not_charged_twice) {
+  std::vector<RouterCandidate> owners = MakeOwners(2);
+  owners[0].is_self = true;
+  owners[1].is_near = false;
+  Router router(1);
+  for (int job = 0; job < 100; ++job) {
+    STRCMP_EQUAL("owner0", router.Choose(owners, 256'000, {}).c_str());
+    router.DidSend("owner0", 256'000);
+  }
+}
+
 }  // namespace mustardbank
