LibLeaseEntry: Bound the row of learned queues by its bytes

Cause: the row was bounded by the number of queues only. With long names it would exceed what the platform takes, and each refused write counts towards taking the store for lost. Found by reading the diff.

Change: queues are added, those with most observations first, up to 45,000 bytes.

Measured: the test with names of 180 bytes was red before.

--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -14,8 +14,10 @@
 constexpr std::string_view kMemberPrefix = "member/";
 constexpr std::string_view kShardPrefix = "shard/";
 constexpr std::string_view kShardCountPrefix = "shard_count/";
-// Of one row, which must stay below 64 KiB.
-constexpr std::size_t kMostLearnedQueues = 256;
+// Of one row of learned queues. The platform takes 64 KiB, in base64.
+constexpr std::size_t kMostLearnedBytes = 45'000;
+// What a queue takes in that row beside its name, at most.
+constexpr std::size_t kLearnedQueueBytes = 160;
 
 // Decodes a JSON object with `read`, which throws if a field is missing or of
 // another type. Empty if that happens or `text` is not an object.
@@ -352,9 +354,12 @@
       known.begin(), known.end(), [](const auto* a, const auto* b) {
         return a->second.run_times.samples > b->second.run_times.samples;
       });
-  known.resize(std::min(known.size(), kMostLearnedQueues));
   json::object object;
+  std::size_t bytes = 0;
   for (const auto* queue : known) {
+    bytes += queue->first.size() + kLearnedQueueBytes;
+    if (bytes > kMostLearnedBytes)
+      break;
     const auto& [run_times, timeouts] = queue->second;
     object[queue->first] = {
         {"run_time",
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -28,15 +28,16 @@
 
 TEST(PeerCodec, rows_with_very_many_queues_stay_small) {
   LearnedQueues queues;
+  const std::string name(180, 'q');
   for (std::uint32_t i = 0; i < 5000; ++i)
-    queues["a queue with quite a long name " + std::to_string(i)] = {
+    queues[name + std::to_string(i)] = {
         .run_times = {.log_run_time = 1.0 / 3, .samples = i},
         .timeouts = {.mean_timeout = 1e5 / 3, .mean_expected = 1e4 / 3}};
   const RowChange change = EncodeLearnedQueues("llandeilo", queues);
   // The platform's limit is on the text in base64.
   CHECK(change.value.size() * 4 / 3 < 65'536);
   const auto decoded = DecodeLearnedQueues(RowOf(change));
-  CHECK(decoded->contains("a queue with quite a long name 4999"));
+  CHECK(decoded->contains(name + "4999"));
 }
 
 TEST(PeerCodec, unreadable_rows_of_learned_queues_are_reported) {
