LibSchedule: Move scheduling decisions below LibLease

LibLease held leases, ownership and scheduling in one library. Admission, estimates of run times, caller timeouts, learned queues, routing, outcome health and the check before leaving know no lease, token or datagram, and move with their tests. No behaviour changes.

--- a/Libraries/LibLease/commands.h
+++ b/Libraries/LibLease/commands.h
@@ -9,8 +9,8 @@
 
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
-#include "LibLease/job.h"
 #include "LibLease/worker_report.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/lease_configuration.h
+++ b/Libraries/LibLease/lease_configuration.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "LibLease/job.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -5,8 +5,8 @@
 #include <cstdint>
 
 #include "LibLease/duration_histogram.h"
-#include "LibLease/job.h"
 #include "LibLease/worker_report.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -16,25 +16,19 @@
 #include <vector>
 
 #include "LibCore/event_log.h"
-#include "LibLease/admission.h"
 #include "LibLease/answer_timeout.h"
-#include "LibLease/caller_timeouts.h"
 #include "LibLease/commands.h"
-#include "LibLease/duration_estimator.h"
-#include "LibLease/learned_queues.h"
 #include "LibLease/lease_counters.h"
 #include "LibLease/lease_timing.h"
 #include "LibLease/leased_worker.h"
+#include "LibSchedule/admission.h"
+#include "LibSchedule/caller_timeouts.h"
+#include "LibSchedule/duration_estimator.h"
+#include "LibSchedule/learned_queues.h"
+#include "LibSchedule/owner_load.h"
 
 namespace mustardbank {
 
-// Load of an owner, as reported to other VMs.
-struct OwnerLoad {
-  std::int64_t free_millicores = 0;
-  std::int64_t capacity_millicores = 0;
-  std::int64_t queued_millicores = 0;  // of waiting tasks
-};
-
 class LeaseDispatcher {
  public:
   LeaseDispatcher(LeaseTiming timing, EventLog& log)
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -9,9 +9,9 @@
 
 #include "LibLease/commands.h"
 #include "LibLease/lease_timing.h"
-#include "LibLease/outcome_health.h"
-#include "LibLease/resources.h"
 #include "LibLease/worker_report.h"
+#include "LibSchedule/outcome_health.h"
+#include "LibSchedule/resources.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -5,8 +5,8 @@
 #include <map>
 #include <string>
 
-#include "LibLease/job.h"
 #include "LibLease/leased_worker.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -10,7 +10,7 @@
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 #include "LibCore/enum_names.h"
-#include "LibLease/resources.h"
+#include "LibSchedule/resources.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include "LibFiber/fiber_thread.h"
-#include "LibLease/admission.h"
-#include "LibLease/leaving.h"
 #include "LibLeaseEntry/peer_codec.h"
+#include "LibSchedule/admission.h"
+#include "LibSchedule/leaving.h"
 #include "platform/caller_protocol.h"
 
 namespace mustardbank {
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -14,7 +14,7 @@
 #include "LibLease/lease_configuration.h"
 #include "LibLease/lease_dispatcher.h"
 #include "LibLease/ownership.h"
-#include "LibLease/router.h"
+#include "LibSchedule/router.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <string_view>
 
-#include "LibLease/job.h"
-#include "LibLease/learned_queues.h"
 #include "LibLease/ownership.h"
 #include "LibLease/row_store.h"
 #include "LibLease/shard.h"
+#include "LibSchedule/job.h"
+#include "LibSchedule/learned_queues.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -4,8 +4,8 @@
 #include <charconv>
 #include <set>
 
-#include "LibLease/job.h"
 #include "LibLease/worker_report.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/admission.cc
+++ b/Libraries/LibSchedule/admission.cc
@@ -1,4 +1,4 @@
-#include "LibLease/admission.h"
+#include "LibSchedule/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Libraries/LibLease/admission.h
+++ b/Libraries/LibSchedule/admission.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "LibCore/boot_clock.h"
-#include "LibLease/job.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/caller_timeouts.cc
+++ b/Libraries/LibSchedule/caller_timeouts.cc
@@ -1,4 +1,4 @@
-#include "LibLease/caller_timeouts.h"
+#include "LibSchedule/caller_timeouts.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Libraries/LibLease/duration_estimator.cc
+++ b/Libraries/LibSchedule/duration_estimator.cc
@@ -1,4 +1,4 @@
-#include "LibLease/duration_estimator.h"
+#include "LibSchedule/duration_estimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Libraries/LibLease/learned_queues.h
+++ b/Libraries/LibSchedule/learned_queues.h
@@ -6,8 +6,8 @@
 #include <map>
 #include <string>
 
-#include "LibLease/caller_timeouts.h"
-#include "LibLease/duration_estimator.h"
+#include "LibSchedule/caller_timeouts.h"
+#include "LibSchedule/duration_estimator.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/leaving.h
+++ b/Libraries/LibSchedule/leaving.h
@@ -3,7 +3,7 @@
 // therefore refused on arrival, rather than aborted at the exit.
 #pragma once
 
-#include "LibLease/job.h"
+#include "LibSchedule/job.h"
 
 namespace mustardbank {
 
--- a/Libraries/LibLease/router.cc
+++ b/Libraries/LibSchedule/router.cc
@@ -1,4 +1,4 @@
-#include "LibLease/router.h"
+#include "LibSchedule/router.h"
 
 #include <algorithm>
 #include <utility>
--- a/Libraries/LibLease/router.h
+++ b/Libraries/LibSchedule/router.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "LibCore/boot_clock.h"
-#include "LibLease/ownership.h"
+#include "LibSchedule/owner_load.h"
 
 namespace mustardbank {
 
--- a/Tests/LibLease/admission_test.cc
+++ b/Tests/LibSchedule/admission_test.cc
@@ -1,7 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
-#include "LibLease/admission.h"
-#include "lease_fixture.h"
+#include "LibSchedule/admission.h"
+#include "test_jobs.h"
 
 namespace mustardbank {
 
--- a/Tests/LibLease/caller_timeouts_test.cc
+++ b/Tests/LibSchedule/caller_timeouts_test.cc
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "LibLease/caller_timeouts.h"
+#include "LibSchedule/caller_timeouts.h"
 
 namespace mustardbank {
 
--- a/Tests/LibLease/leaving_test.cc
+++ b/Tests/LibSchedule/leaving_test.cc
@@ -1,7 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
-#include "LibLease/leaving.h"
-#include "lease_fixture.h"
+#include "LibSchedule/leaving.h"
+#include "test_jobs.h"
 
 namespace mustardbank {
 
--- a/Tests/LibLease/router_test.cc
+++ b/Tests/LibSchedule/router_test.cc
@@ -1,5 +1,5 @@
 // Which owner a home sends a job to.
-#include "LibLease/router.h"
+#include "LibSchedule/router.h"
 
 #include <CppUTest/TestHarness.h>
 
