LibSchedule, LibLeaseEntry: Start nothing in an evacuated data centre

The operator requests in table op that the workers of a data centre get no more tasks. Requests and withdrawals are ordered by the version of the store, come by the feed, full reads and the heartbeats of peers, and are checked at each start and before the command is sent. Starts are held until the operator's table is known, and again after a pause of the process.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -21,6 +21,11 @@
   kReloaded,
   kConfigurationInForce,
   kConfigurationUnreadable,
+  kEvacuationRequested,
+  kEvacuationWithdrawn,
+  kEvacuationUnreadable,
+  kStartsHeld,
+  kStartsResumed,
   kStoreLost,
   kStoreRegained,
   kStoreRowUnreadable,
@@ -51,13 +56,18 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 34> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 39> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
      "reloaded",
      "configuration_in_force",
      "configuration_unreadable",
+     "evacuation_requested",
+     "evacuation_withdrawn",
+     "evacuation_unreadable",
+     "starts_held",
+     "starts_resumed",
      "store_lost",
      "store_regained",
      "store_row_unreadable",
@@ -94,6 +104,7 @@
   kQueue,
   kWorker,
   kShard,
+  kDataCenter,
   kPeer,
   kVersion,
   kToken,
@@ -118,9 +129,9 @@
   kReason,
 };
 
-inline constexpr EnumNames<LogField, 28> kLogFieldNames{
+inline constexpr EnumNames<LogField, 29> kLogFieldNames{
     {"job",       "task",           "run",         "queue",
-     "worker",    "shard",          "peer",        "version",
+     "worker",    "shard",          "data_center",         "peer",        "version",
      "token",     "cause",          "outcome",     "status",
      "age_ms",    "elapsed_ms",     "expected_ms", "left_ms",
      "waited_ms", "retry_after_ms", "room",        "size",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -45,6 +45,16 @@
   void Release(const std::string& worker);
   // Another VM owns the worker now.
   void Disown(const std::string& worker, Time now);
+  // Starts no more tasks on the workers of these data centres, and refuses
+  // queued jobs that only they could serve. Jobs that have started may start
+  // their remaining tasks there until the time given.
+  void SetEvacuated(std::map<std::string, Time> last_starts_until, Time now);
+  // While starts are held, jobs are admitted and queued as usual, but no task
+  // is started and no capacity reported.
+  void HoldStarts(bool is_held);
+  bool are_starts_held() const { return are_starts_held_; }
+  // Whether a start command issued before may still be sent to the worker.
+  bool MaySend(const StartCommand& command, Time now) const;
 
   // Jobs.
   void Submit(JobRequest job, Time now);
@@ -140,6 +150,15 @@
   static Time LatestStartOf(const Job& job);
   bool FitsNow(const Job& job, Time now) const;
   bool CanEverFit(const Job& job) const;
+  // Whether a worker of sufficient capacity could be given tasks of the group.
+  bool HasWorkerFor(const Job& job,
+                    const TaskGroup& group,
+                    bool is_evacuated) const;
+  // Whether a waiting task of the job could be served only by evacuated
+  // workers.
+  bool NeedsEvacuatedWorkers(const Job& job) const;
+  // Ends jobs with tasks that only evacuated workers could serve.
+  void EndEvacuatedJobs(Time now);
   AdmissionLoad LoadAhead(const Job& job, Time now) const;
   void Schedule(Time now);
   bool StartWaiting(Job& job, Time now);
@@ -198,6 +217,8 @@
   std::vector<std::string> fenced_;
   LeaseCounters counters_;
   bool schedule_due_ = false;
+  std::map<std::string, Time> evacuated_;  // last starts by data centre
+  bool are_starts_held_ = false;
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -93,6 +93,11 @@
 std::optional<JobResult> LeaseDispatcher::CheckAdmission(const Job& job,
                                                          Time now) {
   if (!CanEverFit(job)) {
+    // Another owner may have workers outside that data centre.
+    if (NeedsEvacuatedWorkers(job))
+      return JobResult{.outcome = JobOutcome::kRefused,
+                       .cause = JobCause::kEvacuated,
+                       .retry_after = kNoWorkerRetryAfter};
     const bool has_workers =
         std::any_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
           return worker.second.entry.service == job.request.policy.service &&
@@ -132,16 +137,52 @@
   return std::all_of(
       job.request.groups.begin(), job.request.groups.end(),
       [&](const TaskGroup& group) {
-        return std::any_of(
-            workers_.begin(), workers_.end(), [&](const auto& entry) {
-              const LeasedWorker& worker = entry.second;
-              return worker.entry.service == job.request.policy.service &&
-                     !worker.entry.leaving && !worker.releasing &&
-                     group.each.FitsIn(worker.entry.capacity);
-            });
+        return HasWorkerFor(job, group, /*is_evacuated=*/false);
       });
 }
 
+bool LeaseDispatcher::HasWorkerFor(const Job& job,
+                                   const TaskGroup& group,
+                                   bool is_evacuated) const {
+  return std::any_of(
+      workers_.begin(), workers_.end(), [&](const auto& entry) {
+        const LeasedWorker& worker = entry.second;
+        return worker.is_evacuated == is_evacuated &&
+               worker.entry.service == job.request.policy.service &&
+               !worker.entry.leaving && !worker.releasing &&
+               group.each.FitsIn(worker.entry.capacity);
+      });
+}
+
+bool LeaseDispatcher::NeedsEvacuatedWorkers(const Job& job) const {
+  if (evacuated_.empty())
+    return false;
+  std::set<std::size_t> waiting;  // groups
+  for (const Task& task : job.tasks) {
+    if (task.state == TaskState::kWaiting)
+      waiting.insert(task.group);
+  }
+  return std::any_of(waiting.begin(), waiting.end(), [&](std::size_t index) {
+    const TaskGroup& group = job.request.groups[index];
+    return !HasWorkerFor(job, group, /*is_evacuated=*/false) &&
+           HasWorkerFor(job, group, /*is_evacuated=*/true);
+  });
+}
+
+void LeaseDispatcher::EndEvacuatedJobs(Time now) {
+  if (evacuated_.empty())
+    return;
+  const bool may_start =
+      std::any_of(evacuated_.begin(), evacuated_.end(),
+                  [now](const auto& entry) { return now < entry.second; });
+  const std::set<QueueKey> queued = queue_;
+  for (const QueueKey& key : queued) {
+    const Job& job = jobs_.at(key.job);
+    if ((!job.was_started || !may_start) && NeedsEvacuatedWorkers(job))
+      Cancel(key.job, JobCause::kEvacuated, now);
+  }
+}
+
 bool LeaseDispatcher::FitsNow(const Job& job, Time now) const {
   if (!queue_.empty())
     return false;
@@ -154,8 +195,10 @@
       continue;
     const Resources free_capacity = worker.FreeCapacity();
     if (group.each.FitsIn(free_capacity))
-      places += free_capacity.millicores /
-                std::max<std::int64_t>(1, group.each.millicores);
+      places += worker.IsCold(now)
+                    ? 1
+                    : free_capacity.millicores /
+                          std::max<std::int64_t>(1, group.each.millicores);
   }
   return places >= group.count;
 }
@@ -164,7 +207,8 @@
   AdmissionLoad load{.fits_now = FitsNow(job, now)};
   for (const auto& [id, worker] : workers_) {
     if (worker.phase != WorkerPhase::kHeld || worker.entry.leaving ||
-        worker.releasing || worker.outcome_health.strikes() > 1)
+        worker.releasing || worker.is_evacuated ||
+        worker.outcome_health.strikes() > 1)
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
     load.free += static_cast<double>(worker.FreeCapacity().millicores);
@@ -210,6 +254,8 @@
 }
 
 void LeaseDispatcher::Schedule(Time now) {
+  if (are_starts_held_)
+    return;
   schedule_due_ = false;
   std::vector<QueueKey> emptied;
   for (const QueueKey& key : queue_) {
@@ -229,7 +275,8 @@
     const TaskGroup& group = job.request.groups[task.group];
     LeasedWorker* worker = ChooseWorker(workers_,
                                         {group, job.request.policy.service,
-                                         job.request.id, task.avoided, timing_},
+                                         job.request.id, task.avoided, timing_,
+                                         job.was_started},
                                         now);
     if (!worker)
       break;
@@ -428,7 +475,7 @@
 OwnerLoad LeaseDispatcher::Load(Time now) const {
   OwnerLoad load;
   for (const auto& [id, worker] : workers_) {
-    if (!worker.CanStart(timing_, now))
+    if (are_starts_held_ || !worker.CanStart(timing_, now))
       continue;
     load.capacity_millicores += worker.entry.capacity.millicores;
     load.free_millicores += worker.FreeCapacity().millicores;
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -160,6 +160,9 @@
 }
 
 void LeaseDispatcher::StopStragglers(LeasedWorker& worker, Time now) {
+  // A run that is stopped there may have no other worker to start again on.
+  if (worker.is_evacuated)
+    return;
   for (auto& [task, run] : worker.runs) {
     if (run.state != RunState::kRunning || run.job.empty())
       continue;
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -25,13 +25,45 @@
   if (worker.phase == WorkerPhase::kDown &&
       worker.entry.incarnation != entry.incarnation)
     worker.next_renewal_at = now;
+  if (is_new || worker.entry != entry)
+    worker.cold_until = now + entry.cold.remaining;
   worker.fencing_token = fencing_token;
   worker.entry = entry;
+  const auto evacuated = evacuated_.find(entry.data_center);
+  worker.is_evacuated = evacuated != evacuated_.end();
+  worker.last_starts_until =
+      worker.is_evacuated ? evacuated->second : Time::min();
   worker.unlisted = false;
   worker.releasing = worker.releasing && !has_changed;
   schedule_due_ = true;
 }
 
+void LeaseDispatcher::SetEvacuated(
+    std::map<std::string, Time> last_starts_until,
+    Time now) {
+  evacuated_ = std::move(last_starts_until);
+  for (auto& [id, worker] : workers_) {
+    const auto it = evacuated_.find(worker.entry.data_center);
+    worker.is_evacuated = it != evacuated_.end();
+    worker.last_starts_until = worker.is_evacuated ? it->second : Time::min();
+  }
+  EndEvacuatedJobs(now);
+  schedule_due_ = true;
+}
+
+void LeaseDispatcher::HoldStarts(bool is_held) {
+  schedule_due_ = schedule_due_ || (are_starts_held_ && !is_held);
+  are_starts_held_ = is_held;
+}
+
+bool LeaseDispatcher::MaySend(const StartCommand& command, Time now) const {
+  if (now > command.send_before || are_starts_held_)
+    return false;
+  const auto it = workers_.find(command.target.worker);
+  return it != workers_.end() && (!it->second.is_evacuated ||
+                                  now < it->second.last_starts_until);
+}
+
 void LeaseDispatcher::Unlist(const std::string& id, Time now) {
   const auto it = workers_.find(id);
   if (it == workers_.end())
@@ -436,6 +468,7 @@
       SendRenewal(worker, now);
   }
   RefuseOverdue(now);
+  EndEvacuatedJobs(now);
   // Queued tasks are tried at each tick, since the exclusion of a worker ends
   // without an event.
   schedule_due_ = schedule_due_ || !queue_.empty();
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -91,6 +91,13 @@
   std::map<std::string, UnsettledStart> unsettled_starts;  // by task
   std::size_t foreign_runs = 0;  // runs not started by this owner
   OutcomeHealth outcome_health;
+  // Its data centre is evacuated. Tasks of jobs that have started may still
+  // start here before `last_starts_until`.
+  bool is_evacuated = false;
+  Time last_starts_until;
+  // Bounds the time for which the worker counts as cold, since the registration
+  // is not renewed during an outage of the store.
+  Time cold_until;
 
   // The capacity that no run uses. Runs count until they are known to have
   // ended, and unanswered starts until they can no longer be carried out.
@@ -103,7 +110,18 @@
     return free_capacity;
   }
 
-  bool CanStart(const LeaseTiming& timing, Time now) const {
+  bool IsCold(Time now) const {
+    return !entry.cold.IsOver() && now < cold_until;
+  }
+
+  bool CanStart(const LeaseTiming& timing,
+                Time now,
+                bool is_job_started = false) const {
+    if (is_evacuated && !(is_job_started && now < last_starts_until))
+      return false;
+    // A cold worker warms up with one task at a time.
+    if (IsCold(now) && !runs.empty())
+      return false;
     if (phase != WorkerPhase::kHeld || entry.leaving || releasing || unlisted ||
         foreign_runs > 0 || now - answered_at > timing.max_answer_age)
       return false;
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -83,6 +83,9 @@
   void DidReadShard(const ShardRecord& record, Time now);
   void SetShardCount(const std::string& data_center, std::uint32_t count);
   std::uint32_t ShardCount(const std::string& data_center) const;
+  const std::map<std::string, std::uint32_t>& shard_counts() const {
+    return shard_counts_;
+  }
   // Counts the changes of these numbers, which move workers between shards.
   std::uint64_t shard_count_changes() const { return shard_count_changes_; }
 
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -35,9 +35,9 @@
                            const PlacementQuery& query,
                            Time now) {
   LeasedWorker* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> best_rank;
+  std::tuple<bool, bool, bool, std::int64_t> best_rank;
   for (auto& [id, worker] : workers) {
-    if (!worker.CanStart(query.timing, now) || !IsAllowed(worker, query))
+    if (!worker.CanStart(query.timing, now, query.is_job_started) || !IsAllowed(worker, query))
       continue;
     const Resources free_capacity = worker.FreeCapacity();
     if (!query.group.each.FitsIn(free_capacity))
@@ -45,7 +45,7 @@
     const bool is_far = !query.group.preferred_rack.empty() &&
                         !HasLabel(worker.entry, query.group.preferred_rack);
     const std::tuple rank(
-        id == query.avoided, is_far,
+        id == query.avoided, worker.is_evacuated || worker.IsCold(now), is_far,
         free_capacity.millicores - query.group.each.millicores);
     if (!best || rank < best_rank) {
       best = &worker;
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -17,6 +17,7 @@
   // A worker where the task failed before, chosen only if no other can run it.
   const std::string& avoided;
   const LeaseTiming& timing;
+  bool is_job_started = false;
 };
 
 // Returns null if no worker can start the task now.
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -9,6 +9,7 @@
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 #include "LibLease/lease_dispatcher.h"
+#include "LibSchedule/evacuations.h"
 
 namespace mustardbank {
 
@@ -66,6 +67,8 @@
   // Owners named in these records whose heartbeats the sender misses. It hears
   // all others.
   std::vector<std::string> silent_owners;
+  // Evacuations that the sender knows. Earlier builds send none.
+  EvacuationTable evacuations;
 };
 
 // The sender's status of a shard. Null if it does not own the shard.
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -14,6 +14,17 @@
 
 namespace mustardbank {
 
+// Counts down in each registration. Two values differ only if one of them is
+// over: otherwise each list of workers would differ from the one before.
+struct ColdTime {
+  Duration remaining{};
+
+  bool IsOver() const { return remaining.count() <= 0; }
+  bool operator==(const ColdTime& other) const {
+    return IsOver() == other.IsOver();
+  }
+};
+
 // A worker's registration.
 struct WorkerEntry {
   std::string id;
@@ -24,6 +35,8 @@
   std::vector<std::string> labels;
   bool leaving = false;
   std::uint64_t incarnation = 0;  // time of its start, ms since 1970
+  // For how much longer the worker is slow after its start, as registered.
+  ColdTime cold;
 
   bool operator==(const WorkerEntry&) const = default;
 };
--- a/Libraries/LibLeaseEntry/command_sender.cc
+++ b/Libraries/LibLeaseEntry/command_sender.cc
@@ -32,9 +32,7 @@
         pool_.Acquire(command.target.endpoint);
     if (!connection) {
       reply = platform::DecodeCommandReply(connection.error());
-    } else if (BootClock::now() <= command.send_before) {
-      // Not sent after `send_before`: the process may have been paused since
-      // the dispatcher issued the command.
+    } else if (control_.MaySend(command, BootClock::now())) {
       const HttpResult<HttpResponse> response =
           (*connection)
               ->Exchange(platform::EncodeStart(command),
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -152,8 +152,11 @@
 }
 
 bool JobService::MayFindOwnerSoon(Time now) const {
+  if (control_.IsAllEvacuated())
+    return false;
+  // Evacuated workers report no capacity either, but for longer.
   const bool is_contacting_workers =
-      control_.ownership().OwnsAny() &&
+      control_.OwnsUsableShard() &&
       control_.dispatcher().Load(now).capacity_millicores == 0;
   return now - started_ < kStartupPeriod || is_contacting_workers ||
          control_.ownership().IsClaiming();
@@ -175,6 +178,8 @@
   std::set<std::string> tried;
   JobResult result = Refusal(JobCause::kNoOwner);
   AwaitOwner(job, home);
+  if (control_.IsAllEvacuated())
+    return Refusal(JobCause::kEvacuated);
   if (home.is_cancelled)
     return Refusal(JobCause::kCancelled);
   for (int i = 0; i < kMaxOwnersTried && !home.is_cancelled; ++i) {
@@ -315,11 +320,13 @@
     control_.dispatcher().Cancel(id, JobCause::kCancelled, now);
     control_.Pump(now);
   }
+  // Also owners that take no jobs now, as during an evacuation: their tasks may
+  // still run.
   std::vector<Endpoint> owners;
-  for (const RouterCandidate& owner : control_.Owners(now)) {
-    if (!owner.is_self)
-      owners.push_back(
-          control_.ownership().peers().at(owner.name).record.endpoint);
+  for (const auto& [name, peer] : control_.ownership().peers()) {
+    if (control_.ownership().IsReachable(peer, now) &&
+        !peer.last_heartbeat.shards.empty())
+      owners.push_back(peer.record.endpoint);
   }
   for (const Endpoint owner : owners) {
     const HttpResult<HttpResponse> response = peers_.Exchange(
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -23,6 +23,22 @@
 // How soon changes in ownership reach the dispatcher. Heartbeats and records in
 // the store change which workers this VM may send commands to.
 constexpr Duration kSyncInterval = std::chrono::milliseconds(50);
+// How long jobs that have started may start their other tasks in a data centre
+// after its evacuation was requested: most waiting tasks get the capacity that
+// ends of the job's own runs free within 60 to 300 ms, and their work is not
+// discarded.
+constexpr Duration kLastStarts = std::chrono::milliseconds(300);
+// Nothing may start 5 s after the acknowledgement of the request. A row that
+// may be older than this when it arrives allows no last starts. In steady state
+// the feed answers at least each 2.8 s, and shows the row at once.
+constexpr Duration kLongestNotice = std::chrono::milliseconds(3500);
+// Events come at least each 50 ms. After a longer gap the process was paused,
+// and the operator's table may have changed without its notice.
+constexpr Duration kLongestGap = std::chrono::seconds(1);
+// For how long starts are held at most until the operator's table was read
+// after a pause. A slow store answers within 600 ms, and peers that know a
+// newer table send heartbeats within 500 ms.
+constexpr Duration kLongestHold = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -160,7 +176,124 @@
       .Add(LogField::kCount, configuration_.routes.size());
 }
 
+void LeaseControl::ApplyEvacuation(const std::string& data_center,
+                                   Evacuation evacuation,
+                                   std::string_view via,
+                                   Time acknowledged_after,
+                                   Time now) {
+  DetectPause(now);
+  DidChangeEvacuations(evacuations_.Apply(data_center, evacuation, now), via,
+                       acknowledged_after, now);
+}
+
+void LeaseControl::ReplaceEvacuations(const EvacuationTable& rows,
+                                      std::uint64_t version,
+                                      std::string_view via,
+                                      Time read_began,
+                                      Time now) {
+  DetectPause(now);
+  const std::vector<std::string> changed =
+      evacuations_.ReplaceAll(rows, version, now);
+  // The rows may be old: a full read shows no time of the request.
+  DidChangeEvacuations(changed, via, Time::min(), now);
+  // An answer to a read from before the pause may be as old as the pause.
+  if (reread_since_ && read_began >= *reread_since_) {
+    log_.Write(LogEvent::kStartsResumed, now, LogBudget::kState)
+        .Add(LogField::kElapsedMs, now - *reread_since_)
+        .Add(LogField::kVia, via);
+    reread_since_.reset();
+  }
+  dispatcher_.HoldStarts(AwaitsOperatorTable());
+}
+
+void LeaseControl::DidChangeEvacuations(const std::vector<std::string>& changed,
+                                        std::string_view via,
+                                        Time acknowledged_after,
+                                        Time now) {
+  for (const std::string& data_center : changed) {
+    const bool is_requested = evacuations_.IsEvacuated(data_center);
+    if (!is_requested) {
+      last_starts_until_.erase(data_center);
+    } else {
+      const bool is_recent = !AwaitsOperatorTable() &&
+                             acknowledged_after != Time::min() &&
+                             now - acknowledged_after <= kLongestNotice;
+      last_starts_until_[data_center] = is_recent ? now + kLastStarts : now;
+    }
+    const EvacuationTable table = evacuations_.table();
+    log_.Write(is_requested ? LogEvent::kEvacuationRequested
+                            : LogEvent::kEvacuationWithdrawn,
+               now, LogBudget::kState)
+        .Add(LogField::kDataCenter, data_center)
+        .Add(LogField::kVersion, table.at(data_center).version)
+        .Add(LogField::kVia, via)
+        .Add(LogField::kCount, RunsIn(data_center));
+  }
+  if (!changed.empty())
+    dispatcher_.SetEvacuated(last_starts_until_, now);
+}
+
+std::size_t LeaseControl::RunsIn(const std::string& data_center) const {
+  std::size_t runs = 0;
+  for (const auto& [id, worker] : dispatcher_.workers())
+    runs += worker.entry.data_center == data_center ? worker.runs.size() : 0;
+  return runs;
+}
+
+bool LeaseControl::IsAllEvacuated() const {
+  const auto& shard_counts = ownership_.shard_counts();
+  return !shard_counts.empty() &&
+         std::all_of(shard_counts.begin(), shard_counts.end(),
+                     [this](const auto& entry) {
+                       return evacuations_.IsEvacuated(entry.first);
+                     });
+}
+
+bool LeaseControl::OwnsUsableShard() const {
+  const std::vector<ShardId> owned = ownership_.OwnedShards();
+  return std::any_of(owned.begin(), owned.end(), [this](const ShardId& shard) {
+    return !evacuations_.IsEvacuated(shard.data_center);
+  });
+}
+
+void LeaseControl::DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now) {
+  DetectPause(now);
+  ownership_.DidReceiveHeartbeat(heartbeat, now);
+  router_.DidReport(heartbeat.name);
+  const bool was_awaited = AwaitsOperatorTable();
+  DidChangeEvacuations(evacuations_.Merge(heartbeat.evacuations, now),
+                       heartbeat.name, Time::min(), now);
+  if (was_awaited)
+    dispatcher_.HoldStarts(AwaitsOperatorTable());
+}
+
+Heartbeat LeaseControl::MakeHeartbeat(Duration interval, Time now) const {
+  Heartbeat heartbeat = ownership_.MakeHeartbeat(
+      dispatcher_.Load(now), configuration_.version, interval, now);
+  heartbeat.evacuations = evacuations_.Shared(now);
+  return heartbeat;
+}
+
+void LeaseControl::DetectPause(Time now) {
+  const bool was_paused = active_at_ && now - *active_at_ > kLongestGap;
+  active_at_ = now;
+  if (was_paused) {
+    reread_since_ = now;
+    log_.Write(LogEvent::kStartsHeld, now, LogBudget::kState)
+        .Add(LogField::kReason, "the process was paused");
+    sinks_.read_operator_table();
+  } else if (reread_since_ && now - *reread_since_ >= kLongestHold) {
+    // The store does not answer: the last state stays in force.
+    log_.Write(LogEvent::kStartsResumed, now, LogBudget::kState)
+        .Add(LogField::kElapsedMs, now - *reread_since_)
+        .Add(LogField::kCause, "no answer");
+    reread_since_.reset();
+  }
+  dispatcher_.HoldStarts(AwaitsOperatorTable());
+}
+
 void LeaseControl::Submit(JobRequest job, Time now) {
+  DetectPause(now);
   last_job_from_home_[job.home] = now;
   dispatcher_.Submit(std::move(job), now);
   if (draining_since_)
@@ -225,6 +358,7 @@
 }
 
 void LeaseControl::Tick(Time now) {
+  DetectPause(now);
   ownership_.Tick(now);
   // The successor must see the busy workers as they are at the release, so they
   // are updated on each tick while a shard is being released.
@@ -245,7 +379,13 @@
   Pump(now);
 }
 
+bool LeaseControl::MaySend(const StartCommand& command, Time now) {
+  DetectPause(now);
+  return dispatcher_.MaySend(command, now);
+}
+
 void LeaseControl::Pump(Time now) {
+  DetectPause(now);
   DropFencedShards(now);
   for (LeaseAction& action : dispatcher_.TakeActions(now)) {
     if (auto* start = std::get_if<StartCommand>(&action))
@@ -271,9 +411,13 @@
                          return status.shard.data_center == self_.data_center;
                        });
   };
-  const auto accepts = [](const std::vector<ShardStatus>& shards) {
-    return std::any_of(shards.begin(), shards.end(),
-                       [](const auto& status) { return !status.is_released; });
+  // Its last report of free capacity may be older than an evacuation.
+  const auto accepts = [this](const std::vector<ShardStatus>& shards) {
+    return std::any_of(
+        shards.begin(), shards.end(), [this](const auto& status) {
+          return !status.is_released &&
+                 !evacuations_.IsEvacuated(status.shard.data_center);
+        });
   };
   if (ownership_.MayStartTasks()) {
     const OwnerLoad load = dispatcher_.Load(now);
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -14,6 +14,7 @@
 #include "LibLease/lease_configuration.h"
 #include "LibLease/lease_dispatcher.h"
 #include "LibLease/ownership.h"
+#include "LibSchedule/evacuations.h"
 #include "LibSchedule/router.h"
 
 namespace mustardbank {
@@ -28,6 +29,8 @@
     std::function<void(FinishJob&&)> finish;
     std::function<void(ClaimShard&&)> claim;
     std::function<void(ProbeDataCenter&&)> probe;
+    // Reads the operator's table in full, as its state may have changed.
+    std::function<void()> read_operator_table = [] {};
   };
 
   LeaseControl(Ownership::Self self, LeaseTiming timing, EventLog& log)
@@ -35,7 +38,9 @@
         log_(log),
         ownership_(std::move(self), ownership_timing_, log),
         dispatcher_(timing, log),
-        router_(FastDigest(self_.name)) {}
+        router_(FastDigest(self_.name)) {
+    dispatcher_.HoldStarts(true);
+  }
 
   void SetSinks(Sinks sinks) { sinks_ = std::move(sinks); }
 
@@ -53,9 +58,39 @@
   void SetConfiguration(LeaseConfiguration configuration,
                         std::string_view via,
                         Time now);
+  // Evacuations, from the operator's table. No task is started until the table
+  // is known. `read_began`: when the read of the full table was requested;
+  // `acknowledged_after`: the store acknowledged the row later than this.
+  void ApplyEvacuation(const std::string& data_center,
+                       Evacuation evacuation,
+                       std::string_view via,
+                       Time acknowledged_after,
+                       Time now);
+  void ReplaceEvacuations(const EvacuationTable& rows,
+                          std::uint64_t version,
+                          std::string_view via,
+                          Time read_began,
+                          Time now);
+  // Whether starts are held until the operator's table is read.
+  bool AwaitsOperatorTable() const {
+    return !evacuations_.is_known() || reread_since_;
+  }
+  const Evacuations& evacuations() const { return evacuations_; }
+  // Whether all data centres that have shards are evacuated.
+  bool IsAllEvacuated() const;
+  // Runs of this owner in a data centre.
+  std::size_t RunsIn(const std::string& data_center) const;
+  // Whether this VM owns a shard of a data centre that is not evacuated.
+  bool OwnsUsableShard() const;
+
+  void DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now);
+  Heartbeat MakeHeartbeat(Duration interval, Time now) const;
   void Submit(JobRequest job, Time now);
   void Tick(Time now);
   void Leave(Time now);
+  // Whether a start command may still be sent. The process may have been
+  // paused, or the worker's data centre evacuated, since it was issued.
+  bool MaySend(const StartCommand& command, Time now);
   // Passes all actions decided on since the last call to the sinks.
   void Pump(Time now);
 
@@ -87,6 +122,13 @@
   void DrainQueue(Time now);
   void CancelJobsOfUnreachableHomes(Time now);
   void DropFencedShards(Time now);
+  // Holds starts after a pause of the process, during which evacuations may
+  // have been requested.
+  void DetectPause(Time now);
+  void DidChangeEvacuations(const std::vector<std::string>& changed,
+                            std::string_view via,
+                            Time acknowledged_after,
+                            Time now);
 
   const Ownership::Self self_;
   const OwnershipTiming ownership_timing_;
@@ -96,6 +138,11 @@
   Router router_;
   Sinks sinks_;
   LeaseConfiguration configuration_;
+  Evacuations evacuations_;
+  // By data centre, until when jobs that have started may start more tasks.
+  std::map<std::string, Time> last_starts_until_;
+  std::optional<Time> active_at_;     // of the last event
+  std::optional<Time> reread_since_;  // when the process noticed a pause
   std::vector<WorkerEntry> workers_;
   Time workers_read_at_{};
   // Indexes into `workers_`.
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -130,7 +130,8 @@
          .probe =
              [this](ProbeDataCenter&& probe) {
                store_->Probe(std::move(probe));
-             }});
+             },
+         .read_operator_table = [this] { store_->BeginReadOperatorTable(); }});
   }
 
   leaf::result<void> Start() {
@@ -238,8 +239,9 @@
 
   void SendHeartbeats(Time now) {
     const Ownership& ownership = control_.ownership();
-    if (const std::uint64_t steps = ownership.hand_over_steps();
-        std::exchange(hand_over_steps_, steps) != steps)
+    if (const std::uint64_t changes = ownership.hand_over_steps() +
+                                      control_.evacuations().changes();
+        std::exchange(urgent_changes_, changes) != changes)
       heartbeats_.SendAllNow();
     else if (now - heartbeats_checked_ < kHeartbeatCheck)
       return;
@@ -253,9 +255,7 @@
         continue;
       std::string& bytes = encoded[interval];
       if (bytes.empty()) {
-        bytes = EncodeHeartbeat(ownership.MakeHeartbeat(
-            control_.dispatcher().Load(now), control_.configuration().version,
-            interval, now));
+        bytes = EncodeHeartbeat(control_.MakeHeartbeat(interval, now));
       }
       // An unsent datagram needs no more handling than one lost on the network.
       if (datagrams_.Send(peer.record.endpoint, bytes))
@@ -271,15 +271,16 @@
           .Add(LogField::kReason, "malformed heartbeat from a peer");
       return;
     }
-    control_.ownership().DidReceiveHeartbeat(*heartbeat, now);
-    control_.router().DidReport(heartbeat->name);
+    control_.DidReceiveHeartbeat(*heartbeat, now);
+    control_.Pump(now);
     store_->DidLearnVersion(heartbeat->configuration_version);
   }
 
   bool IsReady() const {
     return !control_.ownership().is_leaving() &&
            control_.configuration().version > 0 &&
-           !control_.Owners(BootClock::now()).empty();
+           (control_.IsAllEvacuated() ||
+            !control_.Owners(BootClock::now()).empty());
   }
 
   void BeginLeave(Time exit) {
@@ -327,7 +328,8 @@
   HeartbeatSchedule heartbeats_;
   Time heartbeats_checked_;
   std::uint64_t datagrams_unsent_ = 0;
-  std::uint64_t hand_over_steps_ = 0;
+  // Changes that peers are told of at once.
+  std::uint64_t urgent_changes_ = 0;
 };
 
 LeaseEntry::LeaseEntry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -96,6 +96,28 @@
   return status;
 }
 
+json::array ToJson(const EvacuationTable& evacuations) {
+  json::array array;
+  for (const auto& [data_center, evacuation] : evacuations)
+    array.push_back(json::object{{"dc", data_center},
+                                 {"version", evacuation.version},
+                                 {"requested", evacuation.is_requested}});
+  return array;
+}
+
+EvacuationTable ToEvacuations(const json::array& array) {
+  EvacuationTable evacuations;
+  for (const json::value& value : array) {
+    if (evacuations.size() == Evacuations::kMostEntries)
+      break;
+    const json::object& object = value.as_object();
+    evacuations[Text(object, "dc")] = {
+        .version = Integer<std::uint64_t>(object, "version"),
+        .is_requested = object.at("requested").as_bool()};
+  }
+  return evacuations;
+}
+
 json::object ToJson(const TaskGroup& group) {
   json::object object{{"count", group.count},
                       {"millicores", group.each.millicores},
@@ -114,7 +136,8 @@
 }
 
 json::object ToJson(const WorkerEntry& entry) {
-  return {{"id", entry.id},
+  json::object object{
+          {"id", entry.id},
           {"service", entry.service},
           {"endpoint", entry.endpoint.ToString()},
           {"dc", entry.data_center},
@@ -124,6 +147,9 @@
           {"labels", json::value_from(entry.labels)},
           {"leaving", entry.leaving},
           {"incarnation", entry.incarnation}};
+  if (!entry.cold.IsOver())
+    object["cold_us"] = ToMicroseconds(entry.cold.remaining);
+  return object;
 }
 
 WorkerEntry ToWorkerEntry(const json::object& object) {
@@ -138,7 +164,9 @@
                        Integer<std::int64_t>(object, "accelerators")},
       .labels = json::value_to<std::vector<std::string>>(object.at("labels")),
       .leaving = object.at("leaving").as_bool(),
-      .incarnation = Integer<std::uint64_t>(object, "incarnation")};
+      .incarnation = Integer<std::uint64_t>(object, "incarnation"),
+      .cold = {object.contains("cold_us") ? Span(object, "cold_us")
+                                          : Duration{}}};
 }
 
 TaskGroup ToTaskGroup(const json::object& object) {
@@ -160,6 +188,12 @@
   return group;
 }
 
+// Earlier builds take an answer with an unknown cause for an owner that failed,
+// and would not try another one.
+JobCause NameForEarlierBuilds(JobCause cause) {
+  return cause == JobCause::kEvacuated ? JobCause::kHandedOver : cause;
+}
+
 std::optional<std::string> KeyAfter(const StoreRow& row,
                                     std::string_view prefix) {
   if (!row.key.starts_with(prefix))
@@ -183,6 +217,8 @@
                       {"silent", json::value_from(heartbeat.silent_owners)},
                       // Read by builds that list all VMs they hear.
                       {"hears", json::array()}};
+  if (!heartbeat.evacuations.empty())
+    object["evacuations"] = ToJson(heartbeat.evacuations);
   AddLoad(heartbeat.load, object);
   return json::serialize(object);
 }
@@ -206,6 +242,9 @@
     }
     for (const json::value& shard : object.at("shards").as_array())
       heartbeat.shards.push_back(ToShardStatus(shard.as_object()));
+    if (object.contains("evacuations"))
+      heartbeat.evacuations =
+          ToEvacuations(object.at("evacuations").as_array());
     return heartbeat;
   });
 }
@@ -252,8 +291,10 @@
 std::string EncodeJobAnswer(const JobAnswer& answer) {
   const JobResult& result = answer.result;
   json::object object{{"outcome", kJobOutcomeNames[result.outcome]},
-                      {"cause", kJobCauseNames[result.cause]},
+                      {"cause", kJobCauseNames[NameForEarlierBuilds(result.cause)]},
                       {"retry_after_us", ToMicroseconds(result.retry_after)}};
+  if (result.cause == JobCause::kEvacuated)
+    object["evacuated"] = true;
   if (answer.load)
     AddLoad(*answer.load, object);
   return json::serialize(object);
@@ -267,6 +308,8 @@
             .outcome = kJobOutcomeNames.Find(Text(object, "outcome")).value(),
             .cause = kJobCauseNames.Find(Text(object, "cause")).value(),
             .retry_after = Span(object, "retry_after_us")}};
+    if (object.contains("evacuated"))
+      answer.result.cause = JobCause::kEvacuated;
     if (object.contains("free"))
       answer.load = ToLoad(object);
     return answer;
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -22,6 +22,10 @@
     case LogEvent::kStopping:
     case LogEvent::kStopped:
     case LogEvent::kConfigurationInForce:
+    case LogEvent::kEvacuationRequested:
+    case LogEvent::kEvacuationWithdrawn:
+    case LogEvent::kStartsHeld:
+    case LogEvent::kStartsResumed:
     case LogEvent::kStoreLost:
     case LogEvent::kStoreRegained:
     case LogEvent::kPeerLost:
@@ -78,6 +82,9 @@
       return "refused: no VM that owns workers could be reached";
     case JobCause::kLeaving:
       return "refused: the VM was about to stop";
+    case JobCause::kEvacuated:
+      return "refused or given up: the operator evacuates the data centre of "
+             "the workers";
   }
   return "unknown";
 }
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -42,6 +42,8 @@
 constexpr std::int64_t kWorkerCounters = 2;
 constexpr std::int64_t kCountingPatienceS = 2;
 constexpr milliseconds kWorkersRetry{200};
+// Operators make few mistakes at a time; more are reported again.
+constexpr std::size_t kMostReportedRows = 64;
 constexpr milliseconds kIdlePoll{50};
 // Consecutive failed calls after which the store counts as lost.
 constexpr int kFailuresUntilLost = 2;
@@ -126,7 +128,10 @@
                        Apply apply) {
   std::uint64_t version = 0;
   bool has_read = false;
+  PageOrigin origin;
   while (true) {
+    origin.is_full = !has_read;
+    origin.requested = BootClock::now();
     platform::StoreResult<RowPage> page =
         has_read ? store_.ReadChanges(table, version, wait, wait + kAnswerSlack)
                  : store_.Read(table, kCallTimeout);
@@ -142,8 +147,8 @@
     }
     has_read = true;
     version = page->version;
-    for (const StoreRow& row : page->rows)
-      apply(row);
+    apply(*page, origin);
+    origin.previous = BootClock::now();
     if (table == kSharedTable)
       control_.ownership().DidReadStoreThrough(version);
     if (table == kSharedTable && !is_announced_)
@@ -162,7 +167,49 @@
 
 void StoreLoop::FollowOperatorTable() {
   Follow(platform::kOperatorTable, kOperatorWait,
-         [this](const StoreRow& row) { ApplyOperatorRow(row, "feed"); });
+         [this](const RowPage& page, const PageOrigin& origin) {
+           ApplyOperatorPage(page, origin, "feed");
+         });
+}
+
+void StoreLoop::ApplyOperatorPage(const RowPage& page,
+                                  const PageOrigin& origin,
+                                  std::string_view via) {
+  ApplyEvacuationRows(page, origin, via, BootClock::now());
+  for (const StoreRow& row : page.rows)
+    ApplyOperatorRow(row, via);
+}
+
+void StoreLoop::ApplyEvacuationRows(const RowPage& page,
+                                    const PageOrigin& origin,
+                                    std::string_view via,
+                                    Time now) {
+  EvacuationTable table;
+  for (const StoreRow& row : page.rows) {
+    if (!platform::IsEvacuationKey(row.key))
+      continue;
+    const auto decoded = platform::DecodeEvacuation(row);
+    if ((!decoded || decoded->is_value_unreadable) &&
+        std::exchange(reported_rows_[row.key], row.version) != row.version)
+      control_.log()
+          .Write(LogEvent::kEvacuationUnreadable, now, LogBudget::kState)
+          .Add(LogField::kVersion, row.version)
+          .Add(LogField::kReason,
+               decoded ? "the value is not an object; evacuated nevertheless"
+                       : decoded.error().reason + ": " + row.key);
+    if (!decoded)
+      continue;
+    if (origin.is_full)
+      table[decoded->data_center] = decoded->evacuation;
+    else
+      control_.ApplyEvacuation(decoded->data_center, decoded->evacuation, via,
+                               origin.previous, now);
+  }
+  if (reported_rows_.size() > kMostReportedRows)
+    reported_rows_.clear();
+  if (origin.is_full)
+    control_.ReplaceEvacuations(table, page.version, via, origin.requested,
+                                now);
 }
 
 void StoreLoop::ApplyOperatorRow(const StoreRow& row, std::string_view via) {
@@ -181,22 +228,33 @@
 }
 
 void StoreLoop::DidLearnVersion(std::uint64_t version) {
-  if (version <= control_.configuration().version || is_reading_operator_)
+  if (version > control_.configuration().version)
+    BeginReadOperatorTable();
+}
+
+void StoreLoop::BeginReadOperatorTable() {
+  if (is_reading_operator_)
     return;
   is_reading_operator_ = true;
   fibers_.Run([this] { ReadOperatorTable(); });
 }
 
 void StoreLoop::ReadOperatorTable() {
-  platform::StoreResult<RowPage> page =
-      store_.Read(platform::kOperatorTable, kCallTimeout);
-  DidCall(page);
-  if (page) {
-    for (const StoreRow& row : page->rows)
-      ApplyOperatorRow(row, "peer_hint");
-  } else {
-    SleepFiber(kRetryDelay);
-  }
+  // Repeated if the process was paused during the read: its answer may be older
+  // than the pause.
+  do {
+    const Time requested = BootClock::now();
+    platform::StoreResult<RowPage> page =
+        store_.Read(platform::kOperatorTable, kCallTimeout);
+    DidCall(page);
+    if (page) {
+      ApplyOperatorPage(*page, {.is_full = true, .requested = requested},
+                        "read_again");
+      control_.Pump(BootClock::now());
+    } else {
+      SleepFiber(kRetryDelay);
+    }
+  } while (control_.AwaitsOperatorTable());
   is_reading_operator_ = false;
 }
 
@@ -279,7 +337,10 @@
 
 void StoreLoop::FollowSharedTable() {
   Follow(kSharedTable, kSharedWait,
-         [this](const StoreRow& row) { ApplySharedRow(row); });
+         [this](const RowPage& page, const PageOrigin& /*origin*/) {
+           for (const StoreRow& row : page.rows)
+             ApplySharedRow(row);
+         });
 }
 
 void StoreLoop::ApplySharedRow(const StoreRow& row) {
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -38,6 +38,9 @@
   // Handles the configuration version of a peer; reads the configuration if it
   // is newer than this VM's.
   void DidLearnVersion(std::uint64_t version);
+  // Reads the operator's table in full, at least until starts are no longer
+  // held for it.
+  void BeginReadOperatorTable();
 
   // Handles a list of workers that another VM read.
   HttpResponse ServeWorkerList(const HttpRequest& request);
@@ -66,11 +69,25 @@
   void InitializeShardCounts(Time now);
   void ReadOperatorTable();
 
-  // Reads a table, then follows its changes; calls `apply` for each row.
+  // What a page of a table holds: all rows, or those changed since the last one.
+  struct PageOrigin {
+    bool is_full = false;
+    Time requested;
+    // When the page before was received. Changes of a feed are later.
+    Time previous = Time::min();
+  };
+  // Reads a table, then follows its changes; calls `apply` for each page.
   template <typename Apply>
   void Follow(const std::string& table,
               std::chrono::milliseconds wait,
               Apply apply);
+  void ApplyOperatorPage(const RowPage& page,
+                         const PageOrigin& origin,
+                         std::string_view via);
+  void ApplyEvacuationRows(const RowPage& page,
+                           const PageOrigin& origin,
+                           std::string_view via,
+                           Time now);
   void ApplyOperatorRow(const StoreRow& row, std::string_view via);
   void ApplySharedRow(const StoreRow& row);
   std::chrono::milliseconds ChangesDelay() const;
@@ -93,6 +110,8 @@
   Time started_at_{};
   Time answered_at_{};
   bool is_reading_operator_ = false;
+  // Versions of evacuation rows that were reported as unreadable, by key.
+  std::map<std::string, std::uint64_t> reported_rows_;
   std::uint64_t member_version_ = 0;  // of this VM's record; 0: none exists
   bool is_announced_ = false;         // the record names this incarnation
   bool is_announcing_ = false;
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -39,6 +39,7 @@
          .claim = [this](ClaimShard&& claim) { claims.push_back(claim); },
          .probe = [](ProbeDataCenter&&) {}});
     control.ownership().SetShardCount("rif", 1);
+    control.ReplaceEvacuations({}, 1, "feed", now, now);
   }
 
   void ClaimShardNow() {
