--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -160,6 +160,7 @@
   control.Tick(now);
   now += milliseconds(900);
   control.ownership().DidProbe("tanger", true, now);
+  control.Tick(now);  // a longer gap between ticks counts as a pause
   now += milliseconds(900);
   control.ownership().DidProbe("tanger", true, now);
   control.Tick(now);
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -46,6 +46,15 @@
 
 const std::vector<LeaseFaultKind> kPlannedFaults{LeaseFaultKind::kLeaveVm};
 
+std::vector<LeaseFaultKind> FaultsFor(LeaseGuarantee guarantee) {
+  if (guarantee == LeaseGuarantee::kGracefulLeave)
+    return kPlannedFaults;
+  std::vector<LeaseFaultKind> kinds = kAllFaults;
+  if (guarantee == LeaseGuarantee::kEvacuated)
+    kinds.insert(kinds.end(), 4, LeaseFaultKind::kEvacuate);
+  return kinds;
+}
+
 rc::Gen<LeaseScenario> GenScenario(const std::vector<LeaseFaultKind>& kinds) {
   return rc::gen::build<LeaseScenario>(
       rc::gen::set(
@@ -85,9 +94,7 @@
                     std::string& first) {
   const auto result = rc::detail::checkTestable(
       [&] {
-        const LeaseScenario scenario = *GenScenario(
-            guarantee == LeaseGuarantee::kGracefulLeave ? kPlannedFaults
-                                                        : kAllFaults);
+        const LeaseScenario scenario = *GenScenario(FaultsFor(guarantee));
         LeaseSimulation simulation(scenario, defect);
         const auto violations = simulation.Run();
         ++tally.cases;
@@ -156,6 +163,9 @@
 TEST(LeaseGuarantees, graceful_leave) {
   CheckHolds(LeaseGuarantee::kGracefulLeave);
 }
+TEST(LeaseGuarantees, evacuated) {
+  CheckHolds(LeaseGuarantee::kEvacuated);
+}
 
 TEST(BrokenLeaseGuarantees, room_kept) {
   CheckDetected(LeaseGuarantee::kRoomKept, LeaseDefect::kStartsHaveNoLease);
@@ -174,6 +184,9 @@
   CheckDetected(LeaseGuarantee::kGracefulLeave,
                 LeaseDefect::kBusyWorkersUnlisted);
 }
+TEST(BrokenLeaseGuarantees, evacuated) {
+  CheckDetected(LeaseGuarantee::kEvacuated, LeaseDefect::kEvacuationsUnread);
+}
 TEST(BrokenLeaseGuarantees, one_owner) {
   CheckDetected(LeaseGuarantee::kOneOwner, LeaseDefect::kWorkersIgnoreTokens);
 }
--- a/Tests/LibLeaseEntry/lease_scenario.h
+++ b/Tests/LibLeaseEntry/lease_scenario.h
@@ -23,12 +23,14 @@
   kDelayOrders,  // commands to a worker are carried out seconds later
   kStoreDown,
   kStoreLosesAnswers,
+  // The operator evacuates the data centre, for four times as long.
+  kEvacuate,
 };
 
-inline constexpr EnumNames<LeaseFaultKind, 12> kLeaseFaultNames{
+inline constexpr EnumNames<LeaseFaultKind, 13> kLeaseFaultNames{
     {"cut_workers", "reset_workers", "freeze_vm", "kill_vm", "leave_vm",
      "cut_peers", "crash_worker", "worker_leaves", "lose_answers",
-     "delay_orders", "store_down", "store_loses_answers"}};
+     "delay_orders", "store_down", "store_loses_answers", "evacuate"}};
 
 struct LeaseFault {
   LeaseFaultKind kind = LeaseFaultKind::kCutWorkers;
--- a/Tests/LibLeaseEntry/lease_simulation.cc
+++ b/Tests/LibLeaseEntry/lease_simulation.cc
@@ -16,6 +16,7 @@
 constexpr int kStopMs = 50;
 constexpr int kLongDelayMs = 2500;  // of delayed commands and store changes
 constexpr int kDrainMs = 2000;  // from a leaving registration to no new starts
+constexpr int kEvacuateMs = 1000;  // the project's own target
 constexpr int kMinRestartMs = 1600;
 constexpr int kWorkersIntervalMs = 1000;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(150);
@@ -157,9 +158,21 @@
       worker->second.entry.leaving = true;
       worker->second.left_at = std::min(worker->second.left_at, now_);
       return;
+    case LeaseFaultKind::kEvacuate:
+      if (evacuations_active_++ == 0)
+        evacuated_at_ = now_;
+      evacuation_rows_["rif"] = {.version = ++store_version_,
+                                 .is_requested = true};
+      Schedule(now_ + 4 * fault.for_ms, [this] {
+        ++store_version_;
+        if (--evacuations_active_ == 0)
+          evacuation_rows_.clear();
+      });
+      return;
     default:
       active_.push_back(fault);
       Schedule(end, [this, fault] {
+        quiet_since_ = now_;
         const auto it = std::find_if(
             active_.begin(), active_.end(), [&](const LeaseFault& other) {
               return other.kind == fault.kind && other.target == fault.target &&
@@ -170,13 +183,27 @@
   }
 }
 
+bool LeaseSimulation::IsStoreDown() const {
+  return IsActive(LeaseFaultKind::kStoreDown, 0) ||
+         IsActive(LeaseFaultKind::kStoreDown, 1) ||
+         IsActive(LeaseFaultKind::kStoreDown, 2);
+}
+
+void LeaseSimulation::ReadEvacuations(Vm& vm, Time read_began) {
+  if (defect_ == LeaseDefect::kEvacuationsUnread &&
+      vm.control->evacuations().is_known())
+    return;
+  vm.control->ReplaceEvacuations(evacuation_rows_, store_version_, "read",
+                                 read_began, Now());
+}
+
 void LeaseSimulation::ReadStore(Vm& vm) {
-  if (IsActive(LeaseFaultKind::kStoreDown, 0) ||
-      IsActive(LeaseFaultKind::kStoreDown, 1) ||
-      IsActive(LeaseFaultKind::kStoreDown, 2))
+  if (IsStoreDown())
     return;
   if (vm.read_version < store_version_) {
     vm.read_version = store_version_;
+    // A read that was answered before a pause.
+    ReadEvacuations(vm, Time::min());
     vm.control->ownership().SetShardCount("rif", 2);
     for (const auto& [name, member] : member_rows_)
       vm.control->ownership().DidReadMember(member, Now());
@@ -201,8 +228,7 @@
   if (now_ < vm.heartbeat_at)
     return;
   vm.heartbeat_at = now_ + ToMs(kHeartbeatInterval);
-  Heartbeat heartbeat = vm.control->ownership().MakeHeartbeat(
-      vm.control->dispatcher().Load(Now()), 1, kHeartbeatInterval, Now());
+  Heartbeat heartbeat = vm.control->MakeHeartbeat(kHeartbeatInterval, Now());
   if (defect_ == LeaseDefect::kBusyWorkersUnlisted) {
     for (ShardStatus& status : heartbeat.shards)
       status.busy.clear();
@@ -214,8 +240,7 @@
                                       incarnation_id =
                                           vms_[peer].incarnation_id] {
       RunOnVm(peer, incarnation_id, [this, peer, heartbeat] {
-        vms_[peer].control->ownership().DidReceiveHeartbeat(heartbeat, Now());
-        vms_[peer].control->router().DidReport(heartbeat.name);
+        vms_[peer].control->DidReceiveHeartbeat(heartbeat, Now());
       });
     });
   }
@@ -357,6 +382,15 @@
           [=, this](ProbeDataCenter&& probe) {
             vms_[vm].control->ownership().DidProbe(probe.data_center, true,
                                                    Now());
+          },
+      .read_operator_table =
+          [=, this] {
+            Schedule(now_ + kStoreMs, [=, this, began = Now()] {
+              RunOnVm(vm, incarnation_id, [=, this] {
+                if (!IsStoreDown())
+                  ReadEvacuations(vms_[vm], began);
+              });
+            });
           }};
 }
 
@@ -460,6 +494,9 @@
                         std::to_string(worker.model.UsedMillicores()));
   if (now_ > worker.left_at + kDrainMs && active_.empty())
     RecordViolation(LeaseGuarantee::kLeavingSpared, worker.entry.id);
+  if (evacuations_active_ > 0 && active_.empty() &&
+      now_ > std::max(evacuated_at_, quiet_since_) + kEvacuateMs)
+    RecordViolation(LeaseGuarantee::kEvacuated, worker.entry.id);
   ScheduleRenewalAnswers(now_ + job.plan.run_ms, worker.entry.id);
   return answer;
 }
--- a/Tests/LibLeaseEntry/lease_simulation.h
+++ b/Tests/LibLeaseEntry/lease_simulation.h
@@ -28,6 +28,8 @@
   kRefusalsOfStartedJobs,  // jobs that are given up are reported as refused
   kLeavingIgnored,
   kBusyWorkersUnlisted,  // heartbeats of leaving VMs list no busy workers
+  // Processes that have read the operator's table are not told of changes.
+  kEvacuationsUnread,
 };
 
 enum class LeaseGuarantee {
@@ -37,11 +39,14 @@
   kLeavingSpared,  // a worker that leaves gets no new tasks
   kOneOwner,       // no command of a former owner has an effect
   kGracefulLeave,  // planned stops end no task; checked without other faults
+  // No task starts a second after its evacuation was requested, or after the
+  // last cut or outage since.
+  kEvacuated,
 };
 
-inline constexpr EnumNames<LeaseGuarantee, 6> kLeaseGuaranteeNames{
+inline constexpr EnumNames<LeaseGuarantee, 7> kLeaseGuaranteeNames{
     {"room_kept", "one_run", "true_refusal", "leaving_spared", "one_owner",
-     "graceful_leave"}};
+     "graceful_leave", "evacuated"}};
 
 class LeaseSimulation {
  public:
@@ -127,6 +132,8 @@
   void StepVm(int vm);
   void BeginFault(const LeaseFault& fault);
   void ReadStore(Vm& vm);
+  bool IsStoreDown() const;
+  void ReadEvacuations(Vm& vm, Time read_began);
   void SendHeartbeats(int vm);
   LeaseControl::Sinks SinksOf(int vm);
 
@@ -169,6 +176,10 @@
   std::map<ShardId, ShardRecord> shard_rows_;
   std::map<std::string, MemberRecord> member_rows_;
   std::uint64_t store_version_ = 10;
+  EvacuationTable evacuation_rows_;
+  int evacuations_active_ = 0;
+  int evacuated_at_ = 0;
+  int quiet_since_ = 0;  // no cut or outage
   std::map<LeaseGuarantee, std::vector<std::string>> violations_;
   bool is_delivering_late_ = false;
   std::size_t starts_ = 0;
