--- a/Libraries/LibSchedule/evacuations.cc
+++ b/Libraries/LibSchedule/evacuations.cc
@@ -15,6 +15,12 @@
                          Evacuation evacuation,
                          Time now) {
   const auto it = entries_.find(data_center);
+  // A full read at a later version lacked this request, so it was withdrawn.
+  // Kept as such, to tell the peer that still has it.
+  if (evacuation.is_requested && evacuation.version <= read_version_ &&
+      (it == entries_.end() ||
+       it->second.evacuation.version < evacuation.version))
+    evacuation = {.version = read_version_, .is_requested = false};
   if (it == entries_.end()) {
     if (!IsName(data_center) || !MakeRoom()) {
       ++dropped_;
@@ -79,6 +85,7 @@
         Update(data_center, {.version = version, .is_requested = false}, now))
       changed.push_back(data_center);
   }
+  read_version_ = std::max(read_version_, version);
   return changed;
 }
 
--- a/Libraries/LibSchedule/evacuations.h
+++ b/Libraries/LibSchedule/evacuations.h
@@ -83,6 +83,7 @@
 
   std::map<std::string, Entry> entries_;
   bool is_known_ = false;
+  std::uint64_t read_version_ = 0;  // highest of the full reads
   std::uint64_t changes_ = 0;
   std::uint64_t dropped_ = 0;
 };
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -31,6 +31,13 @@
   Duration length{};
 };
 
+// The workers from `kFirstEvacuated` on, a quarter of the processors, are in a
+// data centre that is evacuated.
+struct LoadEvacuation {
+  Duration begin{};
+  Duration length{};
+};
+
 struct LoadOutcome {
   int submitted = 0;
   int in_objective = 0;
@@ -49,14 +56,20 @@
   // Each answer of a worker is lost with probability `loss`, after the command
   // was carried out. Each start is carried out 1.5 s late, and not answered,
   // with probability `delay`.
-  explicit LoadSimulation(unsigned seed, double loss = 0, double delay = 0)
+  explicit LoadSimulation(unsigned seed,
+                          double loss = 0,
+                          double delay = 0,
+                          int workers = 12)
       : random_(seed), loss_(loss), delay_(delay) {
     // Sizes of a small site's data centre: two in three have 64 cores, the
     // others 96.
-    for (int i = 0; i < 12; ++i) {
+    for (int i = 0; i < workers; ++i) {
       const std::string id = "w" + std::to_string(10 + i);
       const std::int64_t millicores = i % 3 == 2 ? 96'000 : 64'000;
-      fixture_.dispatcher.Own(MakeWorker(id, millicores), kToken, fixture_.now);
+      WorkerEntry entry = MakeWorker(id, millicores);
+      if (i >= kFirstEvacuated)
+        entry.data_center = kEvacuated;
+      fixture_.dispatcher.Own(entry, kToken, fixture_.now);
       models_.emplace(id, WorkerModel({}, NowMs()));
     }
   }
@@ -65,10 +78,18 @@
   // kept apart, under the kind's name with kReturned.
   std::map<std::string, LoadOutcome> Run(const std::vector<LoadKind>& kinds,
                                          int seconds,
-                                         const Outage& outage = {}) {
+                                         const Outage& outage = {},
+                                         const LoadEvacuation& evacuation = {}) {
+    evacuated_at_ = fixture_.now + evacuation.begin;
+    withdrawn_at_ = evacuated_at_ + evacuation.length;
     const Time begin = fixture_.now + outage.begin;
     for (int ms = 0; ms < seconds * 1000; ++ms) {
       fixture_.now += std::chrono::milliseconds(1);
+      if (evacuation.length.count() > 0 && fixture_.now == evacuated_at_)
+        fixture_.dispatcher.SetEvacuated(
+            {{kEvacuated, fixture_.now + kLastStarts}}, fixture_.now);
+      if (evacuation.length.count() > 0 && fixture_.now == withdrawn_at_)
+        Withdraw();
       const bool is_out =
           fixture_.now >= begin && fixture_.now < begin + outage.length;
       for (const LoadKind& kind : kinds) {
@@ -96,6 +117,16 @@
     return outcomes_;
   }
 
+  // Starts in the evacuated data centre after its last starts, and after the
+  // withdrawal.
+  int evacuated_starts() const { return evacuated_starts_; }
+  int resumed_starts() const { return resumed_starts_; }
+  // The capacity reported by the withdrawal, in millicores.
+  std::int64_t resumed_capacity() const { return resumed_capacity_; }
+
+  static constexpr int kFirstEvacuated = 9;
+  static constexpr Duration kLastStarts = std::chrono::milliseconds(300);
+
   // Counts from now on only.
   void ForgetOutcomes() { outcomes_.clear(); }
 
@@ -180,6 +211,7 @@
     for (int round = 0; round < 3; ++round) {
       for (const StartCommand& start : std::exchange(fixture_.starts, {})) {
         WorkerModel& model = models_.at(start.target.worker);
+        CountStart(start.target.worker);
         const LoadJob& load_job =
             jobs_.at(start.run.task.substr(0, start.run.task.find('.')));
         if (IsDelayed()) {
@@ -221,6 +253,25 @@
       Count(finish);
   }
 
+  void Withdraw() {
+    const std::int64_t before =
+        fixture_.dispatcher.Load(fixture_.now).capacity_millicores;
+    fixture_.dispatcher.SetEvacuated({}, fixture_.now);
+    resumed_capacity_ =
+        fixture_.dispatcher.Load(fixture_.now).capacity_millicores - before;
+  }
+
+  void CountStart(const std::string& worker) {
+    const std::string& data_center =
+        fixture_.dispatcher.workers().at(worker).entry.data_center;
+    if (data_center != kEvacuated || fixture_.now < evacuated_at_)
+      return;
+    if (fixture_.now >= withdrawn_at_)
+      ++resumed_starts_;
+    else if (fixture_.now >= evacuated_at_ + kLastStarts)
+      ++evacuated_starts_;
+  }
+
   void AnswerRenewals() {
     for (const RenewCommand& renewal : std::exchange(fixture_.renewals, {}))
       waiting_.emplace_back(NowMs(), renewal);
@@ -294,6 +345,12 @@
   std::multimap<Time, LoadJob> returning_;  // by the time of the next try
   std::map<std::string, LoadOutcome> outcomes_;
   int next_job_ = 0;
+  static constexpr const char* kEvacuated = "tanger";
+  Time evacuated_at_;
+  Time withdrawn_at_;
+  int evacuated_starts_ = 0;
+  int resumed_starts_ = 0;
+  std::int64_t resumed_capacity_ = 0;
 };
 
 }  // namespace mustardbank
