--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -240,6 +240,15 @@
   return runs;
 }
 
+std::size_t LeaseControl::UnconfirmedPeers() const {
+  const auto& peers = ownership_.peers();
+  return static_cast<std::size_t>(
+      std::count_if(peers.begin(), peers.end(), [this](const auto& entry) {
+        return !evacuations_.IsConfirmedBy(
+            entry.second.last_heartbeat.evacuations);
+      }));
+}
+
 bool LeaseControl::IsAllEvacuated() const {
   const auto& shard_counts = ownership_.shard_counts();
   return !shard_counts.empty() &&
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -78,6 +78,8 @@
   const Evacuations& evacuations() const { return evacuations_; }
   // Whether all data centres that have shards are evacuated.
   bool IsAllEvacuated() const;
+  // Known entry VMs whose last heartbeat lacks an evacuation in force.
+  std::size_t UnconfirmedPeers() const;
   // Runs of this owner in a data centre.
   std::size_t RunsIn(const std::string& data_center) const;
   // Whether this VM owns a shard of a data centre that is not evacuated.
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -34,12 +34,15 @@
       Count(name, help, values[i], {{label, std::string(names.names[i])}});
   }
 
-  void Gauge(const std::string& name, const std::string& help, double value) {
+  void Gauge(const std::string& name,
+             const std::string& help,
+             double value,
+             const prometheus::Labels& labels = {}) {
     prometheus::BuildGauge()
         .Name("mustardbank_" + name)
         .Help(help)
         .Register(registry_)
-        .Add({})
+        .Add(labels)
         .Set(value);
   }
 
@@ -90,6 +93,35 @@
                ToMilliseconds(now - control.workers_read_at()) / 1000);
 }
 
+void WriteEvacuations(MetricsWriter& writer,
+                      const LeaseControl& control,
+                      Time now) {
+  const Evacuations& evacuations = control.evacuations();
+  const std::map<std::string, Time> in_force = evacuations.InForce();
+  writer.Gauge("evacuated_data_centers",
+               "Data centres whose workers get no new tasks",
+               static_cast<double>(in_force.size()));
+  for (const auto& [data_center, since] : in_force) {
+    const prometheus::Labels labels{{"data_center", data_center}};
+    writer.Gauge("evacuation_age_seconds",
+                 "Time since this VM learned of the evacuation",
+                 ToMilliseconds(now - since) / 1000, labels);
+    writer.Gauge("evacuation_runs", "Runs of this owner that are still there",
+                 static_cast<double>(control.RunsIn(data_center)), labels);
+  }
+  writer.Gauge("evacuation_unconfirmed_peers",
+               "Entry VMs whose heartbeats lack an evacuation in force",
+               static_cast<double>(control.UnconfirmedPeers()));
+  writer.Gauge("starts_held",
+               "1 while nothing starts until the operator's table is read",
+               control.AwaitsOperatorTable() ? 1 : 0);
+  writer.Count("evacuation_changes", "Evacuations requested or withdrawn",
+               evacuations.changes());
+  writer.Count("evacuations_dropped",
+               "Evacuations left out, as too many or without a valid name",
+               evacuations.dropped());
+}
+
 }  // namespace
 
 std::string WriteLeaseMetrics(LeaseControl& control,
@@ -139,6 +171,7 @@
                static_cast<double>(control.configuration().version));
   WriteOwner(writer, control, now);
   WritePeers(writer, control, now);
+  WriteEvacuations(writer, control, now);
   return writer.Text();
 }
 
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -128,6 +128,42 @@
   CHECK_EQUAL(0, deployment.StartsOf(IdOf(1)));
 }
 
+// A data centre is evacuated, then all: its entry VMs serve their callers by
+// the workers of others, and then refuse truthfully and at once.
+TEST(LeaseProcess, evacuated_data_centers_get_no_tasks) {
+  int next = 100;
+  const auto submit = [&] {
+    return deployment.Submit(0, IdOf(next++), 2, 20'000, 20, kCallerTimeout);
+  };
+  // The project's own target for a change to be in force everywhere.
+  constexpr milliseconds kInForce{1000};
+  deployment.Admin({{"evacuate", "rif"}});
+  std::this_thread::sleep_for(kInForce);
+  CHECK_EQUAL(200, submit().status);
+  CHECK(deployment.Scrape(0).find(
+            "mustardbank_evacuation_runs{data_center=\"rif\"} 0") !=
+        std::string::npos);
+  CHECK(deployment.Scrape(0).find("mustardbank_evacuation_unconfirmed_peers "
+                                  "0") != std::string::npos);
+  deployment.Admin({{"evacuate", "tanger"}});
+  std::this_thread::sleep_for(kInForce);
+  const CallerAnswer refused = submit();
+  CHECK_EQUAL(503, refused.status);
+  CHECK_EQUAL(std::string(R"({"reason":"evacuated"})"), refused.body);
+  CHECK(!refused.retry_after.empty());
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(next - 1)));
+  // A process that starts meanwhile reads the table before its first start.
+  deployment.entry(0).Signal(SIGKILL);
+  deployment.StartEntry(0);
+  CHECK(deployment.WaitUntilReady(kReady));
+  CHECK_EQUAL(503, submit().status);
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(next - 1)));
+  deployment.Admin({{"withdraw", "rif"}});
+  deployment.Admin({{"withdraw", "tanger"}});
+  std::this_thread::sleep_for(kInForce);
+  CHECK_EQUAL(200, submit().status);
+}
+
 TEST(LeaseProcess, newer_configuration_takes_effect_and_older_is_ignored) {
   const HttpRequest query{
       .method = "GET", .target = "/new/", .headers = {{"Host", "host"}}};
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -414,6 +414,10 @@
     const json::object body = ParseObject(request.body);
     if (const json::value* configuration = body.if_contains("configuration"))
       store_.Put("op", "config", EncodeBase64(json::serialize(*configuration)));
+    if (const json::value* data_center = body.if_contains("evacuate"))
+      store_.Put("op", EvacuationKey(*data_center), EncodeBase64("{}"));
+    if (const json::value* data_center = body.if_contains("withdraw"))
+      store_.Put("op", EvacuationKey(*data_center), "", /*deleted=*/true);
     if (const json::value* mode = body.if_contains("store"))
       store_.mode = kStoreModes.Find(mode->as_string()).value();
     if (const json::value* worker = body.if_contains("worker")) {
@@ -428,6 +432,10 @@
   }
 
  private:
+  static std::string EvacuationKey(const json::value& data_center) {
+    return "evacuate/" + std::string(data_center.as_string());
+  }
+
   static WorkerModel::Options OptionsOf(const json::object& plan) {
     WorkerModel::Options options{.clock_rate = 0.99};
     if (const json::value* rate = plan.if_contains("clock_rate"))
