LibSchedule: Learn the speed of workers and place tasks by their end

The run time of a task depends on its worker, but nothing recorded the speed of workers: estimates of queues mixed fast and slow workers, a job was late since one of its tasks ran on a slow one, and slow workers and long jobs were taken for faults.

WorkerSpeeds learns a factor for each worker from its ended runs, and shrinks it towards similar workers. Queues learn run times on a reference worker. Placement prefers workers where the task ends in time, with a margin for the error of expected run times. Stragglers are judged by the worker's factor, the job's other runs and the worker's other runs.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -26,6 +26,7 @@
 #include "LibSchedule/duration_estimator.h"
 #include "LibSchedule/learned_queues.h"
 #include "LibSchedule/owner_load.h"
+#include "LibSchedule/worker_speeds.h"
 
 namespace mustardbank {
 
@@ -88,6 +89,7 @@
   std::size_t queued_jobs() const { return queue_.size(); }
   OwnerLoad Load(Time now) const;
   const LeaseCounters& counters() const { return counters_; }
+  const WorkerSpeeds& speeds() const { return speeds_; }
 
   // What the jobs so far have shown about their queues.
   LearnedQueues Learned() const;
@@ -110,13 +112,19 @@
     Duration projected{};
     // A run from an earlier submission of the job may not have ended yet.
     bool is_blocked = false;
+    // Run time of the successful run, relative to the expected time on its
+    // worker. 0: none yet.
+    double ratio = 0;
   };
 
   struct Job {
     JobRequest request;
     std::shared_ptr<const std::string> payload;
     JobEstimate estimate;
-    std::vector<Duration> run_times;        // expected, by group
+    std::vector<Duration>
+        run_times;  // expected on a reference worker, by group
+    std::vector<Duration> chains_after;     // of run times after each group
+    JobDeviation deviation;                 // of its ended runs
     std::vector<std::uint32_t> unfinished;  // tasks not done, by group
     std::vector<Task> tasks;
     std::size_t waiting = 0;
@@ -145,6 +153,8 @@
   bool StartWaiting(Job& job, Time now);
   void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
+  // The longest run time of a task of the group that meets the objective.
+  static Duration LatestRunTime(const Job& job, std::size_t group, Time now);
   void StartTask(Job& job, std::size_t index, LeasedWorker& worker, Time now);
   void RefuseOverdue(Time now);
   template <typename Predicate>
@@ -177,7 +187,24 @@
   void StopMissingStarts(LeasedWorker& worker, std::uint64_t renewal, Time now);
   void StopStragglers(LeasedWorker& worker, Time now);
   bool IsStalled(const LeasedRun& run, Time now) const;
-  bool IsStraggling(const LeasedRun& run, Time now) const;
+  // Whether the run takes far longer than its job, its worker and their errors
+  // explain, and its task would end sooner elsewhere.
+  bool IsStraggling(const LeasedWorker& worker,
+                    const LeasedRun& run,
+                    Time now) const;
+  // Duration of the job's other runs over their expected time, or nothing if
+  // none has progressed.
+  std::optional<double> RatioOfSiblings(const LeasedRun& run, Time now) const;
+  std::optional<double> RatioOfNeighbours(const LeasedWorker& worker,
+                                          const LeasedRun& run,
+                                          Time now) const;
+  // Of the fastest worker that can take the task now; 1 if there is none.
+  double BestFactor(const LeasedWorker& except,
+                    const LeasedRun& run,
+                    Time now) const;
+  // Whether an earlier run of the task was stopped as a straggler.
+  bool WasMoved(const LeasedRun& run) const;
+  void DidSucceed(LeasedWorker& worker, const LeasedRun& run, Time now);
   void ProbeNow(LeasedWorker& worker, Time now);
   void SendRenewal(LeasedWorker& worker, Time now);
   bool NeedsRenewal(const LeasedWorker& worker, Time now) const;
@@ -193,6 +220,8 @@
   std::set<QueueKey> queue_;  // jobs with waiting tasks
   DurationEstimator durations_;
   CallerTimeouts caller_timeouts_;
+  WorkerSpeeds speeds_;
+  Time speeds_fitted_at_;
   AnswerTimeout answer_timeout_;  // of starts and stops
   std::vector<LeaseAction> actions_;
   std::vector<std::string> fenced_;
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -49,6 +49,7 @@
     job.unfinished.push_back(tasks.count);
     job.tasks.insert(job.tasks.end(), tasks.count, Task{.group = group});
   }
+  job.chains_after = ChainsAfter(job.request, job.run_times);
   job.waiting = job.tasks.size();
   BlockTasksThatRun(job);
   Estimate(job, now);
@@ -227,10 +228,17 @@
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(workers_,
-                                        {group, job.request.policy.service,
-                                         job.request.id, task.avoided, timing_},
-                                        now);
+    LeasedWorker* worker = ChooseWorker(
+        workers_,
+        {.group = group,
+         .service = job.request.policy.service,
+         .job = job.request.id,
+         .avoided = task.avoided,
+         .timing = timing_,
+         .speeds = speeds_,
+         .run_time = LongestRun(job.run_times[task.group], group.count),
+         .latest_run_time = LatestRunTime(job, task.group, now)},
+        now);
     if (!worker)
       break;
     StartTask(job, i, *worker, now);
@@ -238,6 +246,13 @@
   return job.waiting > 0;
 }
 
+Duration LeaseDispatcher::LatestRunTime(const Job& job,
+                                        std::size_t group,
+                                        Time now) {
+  return job.estimate.latest_start + job.estimate.longest_chain -
+         job.chains_after[group] - now;
+}
+
 void LeaseDispatcher::StartTask(Job& job,
                                 std::size_t index,
                                 LeasedWorker& worker,
@@ -272,14 +287,16 @@
                        .send_before = now + timing_.command_timeout,
                        .timeout = answer_timeout_.Timeout()};
   worker.runs.emplace(
-      run.task,
-      LeasedRun{.id = run,
-                .job = job.request.id,
-                .task = index,
-                .size = group.each,
-                .started = now,
-                .expected = std::max(job.run_times[task.group], task.projected),
-                .progressed = now});
+      run.task, LeasedRun{.id = run,
+                          .job = job.request.id,
+                          .task = index,
+                          .size = group.each,
+                          .started = now,
+                          .expected = FromMilliseconds(
+                              ToMilliseconds(std::max(job.run_times[task.group],
+                                                      task.projected)) *
+                              speeds_.SpeedOf(worker.entry.id).factor()),
+                          .progressed = now});
   actions_.emplace_back(std::move(command));
   // Sends a renewal unless one is already waiting at the worker: the waiting
   // renewal reports the end of the run.
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -1,6 +1,9 @@
 // Runs of LeaseDispatcher: their ends, stops and progress.
 #include <algorithm>
+#include <cmath>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "LibLease/lease_dispatcher.h"
 
@@ -13,8 +16,12 @@
 // A run is checked for straggling only after this share of its expected time.
 constexpr double kStragglerCheckShare = 0.4;
 // On healthy workers, 99.7% of runs stay below this multiple of the expected
-// time (lognormal with a standard deviation of 0.45).
+// time (lognormal with a standard deviation of 0.45). An error of the worker's
+// speed raises it.
 constexpr double kStragglerFactor = 3.5;
+// Runs below this multiple of the expected time show that nothing is wrong with
+// their worker or job.
+constexpr double kNormalFactor = 2;
 // Time to stop a run and start it on another worker.
 constexpr Duration kRestartCost = std::chrono::milliseconds(60);
 // Restarts of a task, for any cause, before its job is given up.
@@ -25,6 +32,21 @@
   return (now - run.started) * 100 / std::max(1, run.percent);
 }
 
+std::optional<double> MedianOf(std::vector<double> values) {
+  if (values.empty())
+    return std::nullopt;
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+// The projected duration over the expected one.
+double RatioOf(const LeasedRun& run, Time now) {
+  return ToMilliseconds(ProjectTotal(run, now)) /
+         std::max(1.0, ToMilliseconds(run.expected));
+}
+
 }  // namespace
 
 void LeaseDispatcher::EndAllRuns(LeasedWorker& worker, RunEnd end, Time now) {
@@ -87,9 +109,7 @@
     task.state = TaskState::kDone;
     ++job.done;
     --job.unfinished[task.group];
-    durations_.DidRun(job.request.policy.name,
-                      job.request.groups[task.group].declared_run_time,
-                      now - run.started);
+    DidSucceed(worker, run, now);
     FinishIfDone(job, now);
     return;
   }
@@ -150,13 +170,101 @@
   return now - run.progressed > std::max(kStallTime, run.expected / 4);
 }
 
-bool LeaseDispatcher::IsStraggling(const LeasedRun& run, Time now) const {
+void LeaseDispatcher::DidSucceed(LeasedWorker& worker,
+                                 const LeasedRun& run,
+                                 Time now) {
+  Job& job = jobs_.at(run.job);
+  Task& task = job.tasks[run.task];
+  const Duration run_time = now - run.started;
+  const double factor = speeds_.SpeedOf(worker.entry.id).factor();
+  const Duration reference =
+      FromMilliseconds(ToMilliseconds(run_time) / factor);
+  task.ratio = ToMilliseconds(reference) /
+               std::max(1.0, ToMilliseconds(job.run_times[task.group]));
+  speeds_.DidRun(worker.entry.id, job.run_times[task.group], run_time,
+                 job.deviation);
+  durations_.DidRun(job.request.policy.name,
+                    job.request.groups[task.group].declared_run_time,
+                    reference);
+}
+
+std::optional<double> LeaseDispatcher::RatioOfSiblings(const LeasedRun& run,
+                                                       Time now) const {
+  const auto job = jobs_.find(run.job);
+  if (job == jobs_.end())
+    return std::nullopt;
+  std::vector<double> ratios;
+  for (const Task& task : job->second.tasks) {
+    if (task.ratio > 0)
+      ratios.push_back(task.ratio);
+  }
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, sibling] : worker.runs) {
+      if (sibling.job == run.job && sibling.id != run.id && sibling.percent > 0)
+        ratios.push_back(RatioOf(sibling, now));
+    }
+  }
+  return MedianOf(std::move(ratios));
+}
+
+std::optional<double> LeaseDispatcher::RatioOfNeighbours(
+    const LeasedWorker& worker,
+    const LeasedRun& run,
+    Time now) const {
+  std::vector<double> ratios;
+  for (const auto& [task, neighbour] : worker.runs) {
+    if (neighbour.job != run.job && neighbour.percent > 0)
+      ratios.push_back(RatioOf(neighbour, now));
+  }
+  return MedianOf(std::move(ratios));
+}
+
+double LeaseDispatcher::BestFactor(const LeasedWorker& except,
+                                   const LeasedRun& run,
+                                   Time now) const {
+  std::optional<double> best;
+  for (const auto& [id, worker] : workers_) {
+    if (&worker == &except || worker.entry.service != except.entry.service ||
+        !worker.CanStart(timing_, now) ||
+        !run.size.FitsIn(worker.FreeCapacity()))
+      continue;
+    const double factor = speeds_.SpeedOf(id).factor();
+    best = std::min(factor, best.value_or(factor));
+  }
+  return best.value_or(1);
+}
+
+bool LeaseDispatcher::WasMoved(const LeasedRun& run) const {
+  const auto job = jobs_.find(run.job);
+  return job != jobs_.end() &&
+         job->second.tasks[run.task].projected.count() > 0;
+}
+
+bool LeaseDispatcher::IsStraggling(const LeasedWorker& worker,
+                                   const LeasedRun& run,
+                                   Time now) const {
   const Duration elapsed = now - run.started;
   if (elapsed < kStragglerCheckShare * run.expected || run.percent <= 0)
     return false;
   const Duration total = ProjectTotal(run, now);
-  return total > kStragglerFactor * run.expected &&
-         total - elapsed > run.expected + kRestartCost;
+  const WorkerSpeed speed = speeds_.SpeedOf(worker.entry.id);
+  // A task that was as slow elsewhere is long, whatever the worker's speed.
+  const double threshold =
+      kStragglerFactor * (WasMoved(run) ? 1 : std::exp(speed.error));
+  if (total <= threshold * run.expected)
+    return false;
+  const std::optional<double> siblings = RatioOfSiblings(run, now);
+  // Without siblings, a long job is likelier than a fault of a worker whose
+  // other runs are as expected.
+  if (!siblings &&
+      RatioOfNeighbours(worker, run, now).value_or(threshold) < kNormalFactor)
+    return false;
+  const double of_job = std::max(1.0, siblings.value_or(1));
+  if (total <= threshold * of_job * run.expected)
+    return false;
+  const double elsewhere_ms = ToMilliseconds(run.expected) * of_job *
+                              BestFactor(worker, run, now) / speed.factor();
+  return total - elapsed > FromMilliseconds(elsewhere_ms) + kRestartCost;
 }
 
 void LeaseDispatcher::StopStragglers(LeasedWorker& worker, Time now) {
@@ -164,12 +272,17 @@
     if (run.state != RunState::kRunning || run.job.empty())
       continue;
     const bool is_stalled = IsStalled(run, now);
-    if (!is_stalled && !IsStraggling(run, now))
+    if (!is_stalled && !IsStraggling(worker, run, now))
       continue;
     ++counters_.stragglers;
     if (const auto job = jobs_.find(run.job); job != jobs_.end() && !is_stalled)
-      job->second.tasks[run.task].projected = ProjectTotal(run, now);
-    ExcludeWorker(worker, now);
+      job->second.tasks[run.task].projected =
+          FromMilliseconds(ToMilliseconds(ProjectTotal(run, now)) /
+                           speeds_.SpeedOf(worker.entry.id).factor());
+    // Only siblings that run as expected show that the worker is at fault, and
+    // not a long job.
+    if (is_stalled || RatioOfSiblings(run, now))
+      ExcludeWorker(worker, now);
     StopRun(worker, run, now);
   }
 }
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -7,6 +7,13 @@
 
 namespace mustardbank {
 
+namespace {
+
+// Speeds change over seconds; a fit takes some microseconds.
+constexpr Duration kSpeedsInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
 void LeaseDispatcher::Own(const WorkerEntry& entry,
                           std::uint64_t fencing_token,
                           Time now) {
@@ -27,6 +34,9 @@
     worker.next_renewal_at = now;
   worker.fencing_token = fencing_token;
   worker.entry = entry;
+  speeds_.Add(entry.id, {.labels = entry.labels,
+                         .millicores = entry.capacity.millicores,
+                         .incarnation = entry.incarnation});
   worker.unlisted = false;
   worker.releasing = worker.releasing && !has_changed;
   schedule_due_ = true;
@@ -43,6 +53,7 @@
   log_.Write(LogEvent::kWorkerRemoved, now, LogBudget::kState)
       .Add(LogField::kWorker, id)
       .Add(LogField::kCause, "unlisted");
+  speeds_.Remove(id);
   workers_.erase(it);
 }
 
@@ -64,6 +75,7 @@
       .Add(LogField::kCount, it->second.runs.size());
   // The runs continue until the new owner stops them. This VM must therefore
   // not start their tasks again, and gives up their jobs.
+  speeds_.Remove(id);
   workers_.erase(it);
   for (const std::string& job : jobs)
     Finish(job,
@@ -231,6 +243,8 @@
     // list the runs of the old one, but may list a run that was started since.
     worker.acknowledged = 0;
     worker.acknowledged_sent = 0;
+    if (worker.incarnation != 0)
+      speeds_.Forget(worker.entry.id);
   }
   worker.incarnation = report.incarnation;
   worker.ReadClock(report.clock_ms, now);
@@ -435,6 +449,10 @@
     if (NeedsRenewal(worker, now))
       SendRenewal(worker, now);
   }
+  if (now - speeds_fitted_at_ >= kSpeedsInterval) {
+    speeds_fitted_at_ = now;
+    speeds_.Fit();
+  }
   RefuseOverdue(now);
   // Queued tasks are tried at each tick, since the exclusion of a worker ends
   // without an event.
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -29,7 +29,7 @@
   Resources size;
   RunState state = RunState::kStarting;
   Time started;
-  Duration expected{};
+  Duration expected{};  // on this worker
   int percent = 0;
   Time progressed;        // when `percent` last rose
   bool was_seen = false;  // an answer or a report showed the run
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -1,7 +1,9 @@
 #include "LibLease/placement.h"
 
 #include <algorithm>
-#include <tuple>
+#include <vector>
+
+#include "LibSchedule/placement_choice.h"
 
 namespace mustardbank {
 
@@ -34,25 +36,27 @@
 LeasedWorker* ChooseWorker(std::map<std::string, LeasedWorker>& workers,
                            const PlacementQuery& query,
                            Time now) {
-  LeasedWorker* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> best_rank;
+  std::vector<LeasedWorker*> usable;
+  std::vector<PlacementCandidate> candidates;
+  const double run_ms = ToMilliseconds(query.run_time);
   for (auto& [id, worker] : workers) {
     if (!worker.CanStart(query.timing, now) || !IsAllowed(worker, query))
       continue;
     const Resources free_capacity = worker.FreeCapacity();
     if (!query.group.each.FitsIn(free_capacity))
       continue;
-    const bool is_far = !query.group.preferred_rack.empty() &&
-                        !HasLabel(worker.entry, query.group.preferred_rack);
-    const std::tuple rank(
-        id == query.avoided, is_far,
-        free_capacity.millicores - query.group.each.millicores);
-    if (!best || rank < best_rank) {
-      best = &worker;
-      best_rank = rank;
-    }
+    usable.push_back(&worker);
+    candidates.push_back(
+        {.leftover_millicores =
+             free_capacity.millicores - query.group.each.millicores,
+         .run_time =
+             FromMilliseconds(run_ms * query.speeds.SpeedOf(id).factor()),
+         .is_avoided = id == query.avoided,
+         .is_far = !query.group.preferred_rack.empty() &&
+                   !HasLabel(worker.entry, query.group.preferred_rack)});
   }
-  return best;
+  const auto choice = ChooseCandidate(candidates, query.latest_run_time);
+  return choice ? usable[*choice] : nullptr;
 }
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -1,5 +1,4 @@
-// Chooses the worker for a task: best fit by processors. Most workers run only
-// two or three tasks, so fragmented free capacity is lost.
+// Chooses the worker for a task among those that can start it now.
 #pragma once
 
 #include <map>
@@ -7,6 +6,7 @@
 
 #include "LibLease/leased_worker.h"
 #include "LibSchedule/job.h"
+#include "LibSchedule/worker_speeds.h"
 
 namespace mustardbank {
 
@@ -17,6 +17,9 @@
   // A worker where the task failed before, chosen only if no other can run it.
   const std::string& avoided;
   const LeaseTiming& timing;
+  const WorkerSpeeds& speeds;
+  Duration run_time{};         // expected on a reference worker
+  Duration latest_run_time{};  // that still meets the job's objective
 };
 
 // Returns null if no worker can start the task now.
--- a/Libraries/LibSchedule/admission.cc
+++ b/Libraries/LibSchedule/admission.cc
@@ -54,6 +54,22 @@
   return estimate;
 }
 
+Duration LongestRun(Duration run_time, std::uint32_t count) {
+  return FromMilliseconds(ToMilliseconds(run_time) * LongestRunFactor(count));
+}
+
+std::vector<Duration> ChainsAfter(const JobRequest& job,
+                                  const std::vector<Duration>& run_times) {
+  std::vector<Duration> after(job.groups.size());
+  for (std::size_t i = job.groups.size(); i-- > 0;) {
+    const Duration chain =
+        after[i] + LongestRun(run_times[i], job.groups[i].count);
+    for (const std::uint32_t earlier : job.groups[i].after)
+      after[earlier] = std::max(after[earlier], chain);
+  }
+  return after;
+}
+
 Duration LongestOwnerWait(const JobRequest& job) {
   const Duration slack = job.policy.target_latency +
                          FromMilliseconds((job.policy.stretch - 1) *
--- a/Libraries/LibSchedule/admission.h
+++ b/Libraries/LibSchedule/admission.h
@@ -50,6 +50,13 @@
 JobEstimate EstimateJob(const JobRequest& job,
                         const std::vector<Duration>& run_times);
 
+// The expected longest of `count` runs of a job.
+Duration LongestRun(Duration run_time, std::uint32_t count);
+
+// Returns for each group how long the groups that wait for it take after it.
+std::vector<Duration> ChainsAfter(const JobRequest& job,
+                                  const std::vector<Duration>& run_times);
+
 // Returns how long a job may wait until a restart or a claim gives the
 // service's workers an owner, and still meet its objective.
 Duration LongestOwnerWait(const JobRequest& job);
--- /dev/null
+++ b/Libraries/LibSchedule/placement_choice.h
@@ -0,0 +1,33 @@
+// Chooses among the workers that can start a task now.
+//
+// A job is in time only if its slowest task is, so a worker where the task
+// would be late comes after all where it is in time. Among these the best fit
+// by processors is chosen: most workers run two or three tasks, and fragmented
+// free capacity is lost.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "LibCore/boot_clock.h"
+
+namespace mustardbank {
+
+struct PlacementCandidate {
+  std::int64_t leftover_millicores = 0;  // free beside the task
+  Duration run_time{};                   // predicted for the task there
+  bool is_avoided = false;  // the task failed there or was stopped there
+  bool is_far = false;      // from the task's data
+
+  bool operator==(const PlacementCandidate&) const = default;
+};
+
+// Returns the index of the best candidate, or nothing if there is none.
+// `latest_run_time` is the longest one that meets the job's objective.
+std::optional<std::size_t> ChooseCandidate(
+    const std::vector<PlacementCandidate>& candidates,
+    Duration latest_run_time);
+
+}  // namespace mustardbank
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -31,6 +31,17 @@
   Duration length{};
 };
 
+// The workers of the data centre, and how their speeds differ.
+struct LoadWorkers {
+  int count = 12;
+  // Multiplies the run times of tasks started on a worker, by its index and the
+  // time since the begin.
+  std::function<double(int, Duration)> factor;
+  std::function<std::string(int)> label;
+  double spread_within_job = 0;   // of logarithms of run times
+  double share_of_long_jobs = 0;  // which take 7 times as long
+};
+
 struct LoadOutcome {
   int submitted = 0;
   int in_objective = 0;
@@ -49,14 +60,23 @@
   // Each answer of a worker is lost with probability `loss`, after the command
   // was carried out. Each start is carried out 1.5 s late, and not answered,
   // with probability `delay`.
-  explicit LoadSimulation(unsigned seed, double loss = 0, double delay = 0)
-      : random_(seed), loss_(loss), delay_(delay) {
+  explicit LoadSimulation(unsigned seed,
+                          double loss = 0,
+                          double delay = 0,
+                          LoadWorkers workers = {})
+      : random_(seed),
+        loss_(loss),
+        delay_(delay),
+        load_workers_(std::move(workers)) {
     // Sizes of a small site's data centre: two in three have 64 cores, the
     // others 96.
-    for (int i = 0; i < 12; ++i) {
+    for (int i = 0; i < load_workers_.count; ++i) {
       const std::string id = "w" + std::to_string(10 + i);
       const std::int64_t millicores = i % 3 == 2 ? 96'000 : 64'000;
-      fixture_.dispatcher.Own(MakeWorker(id, millicores), kToken, fixture_.now);
+      WorkerEntry entry = MakeWorker(id, millicores);
+      if (load_workers_.label)
+        entry.labels = {load_workers_.label(i)};
+      fixture_.dispatcher.Own(entry, kToken, fixture_.now);
       models_.emplace(id, WorkerModel({}, NowMs()));
     }
   }
@@ -96,6 +116,8 @@
     return outcomes_;
   }
 
+  const LeaseDispatcher& dispatcher() const { return fixture_.dispatcher; }
+
   // Counts from now on only.
   void ForgetOutcomes() { outcomes_.clear(); }
 
@@ -128,7 +150,10 @@
   }
 
   LoadJob MakeRandomJob(const LoadKind& kind) {
-    const double run_ms = std::max(5.0, Lognormal(kind.run_ms, 0.4));
+    double run_ms = std::max(5.0, Lognormal(kind.run_ms, 0.4));
+    if (load_workers_.share_of_long_jobs > 0 &&
+        std::bernoulli_distribution(load_workers_.share_of_long_jobs)(random_))
+      run_ms *= 7;
     return {
         .kind = kind.name,
         .first_sent = fixture_.now,
@@ -164,6 +189,16 @@
       ++outcomes_[load_job.kind].refused_despite_capacity;
   }
 
+  std::int64_t RunMs(const StartCommand& start, const LoadJob& job) {
+    double run_ms = static_cast<double>(job.run_ms);
+    if (load_workers_.spread_within_job > 0)
+      run_ms = Lognormal(run_ms, load_workers_.spread_within_job);
+    if (load_workers_.factor)
+      run_ms *= load_workers_.factor(
+          std::stoi(start.target.worker.substr(1)) - 10, fixture_.now - begin_);
+    return static_cast<std::int64_t>(run_ms);
+  }
+
   std::uint32_t Places(std::int64_t millicores) const {
     std::int64_t places = 0;
     for (const auto& [id, worker] : fixture_.dispatcher.workers()) {
@@ -182,24 +217,23 @@
         WorkerModel& model = models_.at(start.target.worker);
         const LoadJob& load_job =
             jobs_.at(start.run.task.substr(0, start.run.task.find('.')));
+        const std::int64_t run_ms = RunMs(start, load_job);
         if (IsDelayed()) {
           lost_.emplace_back(fixture_.now + start.timeout, [this, start] {
             fixture_.dispatcher.DidStart(start, CommandAnswer::kNoAnswer, 0,
                                          fixture_.now);
           });
-          lost_.emplace_back(
-              fixture_.now + kLateBy, [this, start, &model, &load_job] {
-                model.Start(start.run, kToken, start.lease_until_ms,
-                            {.millicores = load_job.millicores,
-                             .run_ms = load_job.run_ms},
-                            NowMs());
-              });
+          lost_.emplace_back(fixture_.now + kLateBy, [this, start, &model,
+                                                      &load_job, run_ms] {
+            model.Start(start.run, kToken, start.lease_until_ms,
+                        {.millicores = load_job.millicores, .run_ms = run_ms},
+                        NowMs());
+          });
           continue;
         }
         const CommandAnswer answer = model.Start(
             start.run, kToken, start.lease_until_ms,
-            {.millicores = load_job.millicores, .run_ms = load_job.run_ms},
-            NowMs());
+            {.millicores = load_job.millicores, .run_ms = run_ms}, NowMs());
         if (LosesAnswer())
           lost_.emplace_back(fixture_.now + start.timeout, [this, start] {
             fixture_.dispatcher.DidStart(start, CommandAnswer::kNoAnswer, 0,
@@ -286,7 +320,9 @@
   std::mt19937 random_;
   const double loss_;
   const double delay_;
+  const LoadWorkers load_workers_;
   LeaseFixture fixture_;
+  const Time begin_ = fixture_.now;
   std::map<std::string, WorkerModel> models_;
   std::vector<std::pair<std::int64_t, RenewCommand>> waiting_;
   std::vector<std::pair<Time, std::function<void()>>> lost_;
