--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -49,6 +49,7 @@
     job.unfinished.push_back(tasks.count);
     job.tasks.insert(job.tasks.end(), tasks.count, Task{.group = group});
   }
+  job.chains_after = ChainsAfter(job.request, job.run_times);
   job.waiting = job.tasks.size();
   BlockTasksThatRun(job);
   Estimate(job, now);
@@ -134,24 +135,22 @@
 }
 
 bool LeaseDispatcher::CanEverFit(const Job& job) const {
-  return std::all_of(
-      job.request.groups.begin(), job.request.groups.end(),
-      [&](const TaskGroup& group) {
-        return HasWorkerFor(job, group, /*is_evacuated=*/false);
-      });
+  return std::all_of(job.request.groups.begin(), job.request.groups.end(),
+                     [&](const TaskGroup& group) {
+                       return HasWorkerFor(job, group, /*is_evacuated=*/false);
+                     });
 }
 
 bool LeaseDispatcher::HasWorkerFor(const Job& job,
                                    const TaskGroup& group,
                                    bool is_evacuated) const {
-  return std::any_of(
-      workers_.begin(), workers_.end(), [&](const auto& entry) {
-        const LeasedWorker& worker = entry.second;
-        return worker.is_evacuated == is_evacuated &&
-               worker.entry.service == job.request.policy.service &&
-               !worker.entry.leaving && !worker.releasing &&
-               group.each.FitsIn(worker.entry.capacity);
-      });
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const LeasedWorker& worker = entry.second;
+    return worker.is_evacuated == is_evacuated &&
+           worker.entry.service == job.request.policy.service &&
+           !worker.entry.leaving && !worker.releasing &&
+           group.each.FitsIn(worker.entry.capacity);
+  });
 }
 
 bool LeaseDispatcher::NeedsEvacuatedWorkers(const Job& job) const {
@@ -273,11 +272,18 @@
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(workers_,
-                                        {group, job.request.policy.service,
-                                         job.request.id, task.avoided, timing_,
-                                         job.was_started},
-                                        now);
+    LeasedWorker* worker = ChooseWorker(
+        workers_,
+        {.group = group,
+         .service = job.request.policy.service,
+         .job = job.request.id,
+         .avoided = task.avoided,
+         .timing = timing_,
+         .speeds = speeds_,
+         .run_time = LongestRun(job.run_times[task.group], group.count),
+         .latest_run_time = LatestRunTime(job, task.group, now),
+         .is_job_started = job.was_started},
+        now);
     if (!worker)
       break;
     StartTask(job, i, *worker, now);
@@ -285,6 +291,13 @@
   return job.waiting > 0;
 }
 
+Duration LeaseDispatcher::LatestRunTime(const Job& job,
+                                        std::size_t group,
+                                        Time now) {
+  return job.estimate.latest_start + job.estimate.longest_chain -
+         job.chains_after[group] - now;
+}
+
 void LeaseDispatcher::StartTask(Job& job,
                                 std::size_t index,
                                 LeasedWorker& worker,
@@ -319,14 +332,16 @@
                        .send_before = now + timing_.command_timeout,
                        .timeout = answer_timeout_.Timeout()};
   worker.runs.emplace(
-      run.task,
-      LeasedRun{.id = run,
-                .job = job.request.id,
-                .task = index,
-                .size = group.each,
-                .started = now,
-                .expected = std::max(job.run_times[task.group], task.projected),
-                .progressed = now});
+      run.task, LeasedRun{.id = run,
+                          .job = job.request.id,
+                          .task = index,
+                          .size = group.each,
+                          .started = now,
+                          .expected = FromMilliseconds(
+                              ToMilliseconds(std::max(job.run_times[task.group],
+                                                      task.projected)) *
+                              speeds_.SpeedOf(worker.entry.id).factor()),
+                          .progressed = now});
   actions_.emplace_back(std::move(command));
   // Sends a renewal unless one is already waiting at the worker: the waiting
   // renewal reports the end of the run.
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -7,6 +7,13 @@
 
 namespace mustardbank {
 
+namespace {
+
+// Speeds change over seconds; a fit takes some microseconds.
+constexpr Duration kSpeedsInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
 void LeaseDispatcher::Own(const WorkerEntry& entry,
                           std::uint64_t fencing_token,
                           Time now) {
@@ -33,6 +40,9 @@
   worker.is_evacuated = evacuated != evacuated_.end();
   worker.last_starts_until =
       worker.is_evacuated ? evacuated->second : Time::min();
+  speeds_.Add(entry.id, {.labels = entry.labels,
+                         .millicores = entry.capacity.millicores,
+                         .incarnation = entry.incarnation});
   worker.unlisted = false;
   worker.releasing = worker.releasing && !has_changed;
   schedule_due_ = true;
@@ -60,8 +70,8 @@
   if (now > command.send_before || are_starts_held_)
     return false;
   const auto it = workers_.find(command.target.worker);
-  return it != workers_.end() && (!it->second.is_evacuated ||
-                                  now < it->second.last_starts_until);
+  return it != workers_.end() &&
+         (!it->second.is_evacuated || now < it->second.last_starts_until);
 }
 
 void LeaseDispatcher::Unlist(const std::string& id, Time now) {
@@ -75,6 +85,7 @@
   log_.Write(LogEvent::kWorkerRemoved, now, LogBudget::kState)
       .Add(LogField::kWorker, id)
       .Add(LogField::kCause, "unlisted");
+  speeds_.Remove(id);
   workers_.erase(it);
 }
 
@@ -96,6 +107,7 @@
       .Add(LogField::kCount, it->second.runs.size());
   // The runs continue until the new owner stops them. This VM must therefore
   // not start their tasks again, and gives up their jobs.
+  speeds_.Remove(id);
   workers_.erase(it);
   for (const std::string& job : jobs)
     Finish(job,
@@ -263,6 +275,8 @@
     // list the runs of the old one, but may list a run that was started since.
     worker.acknowledged = 0;
     worker.acknowledged_sent = 0;
+    if (worker.incarnation != 0)
+      speeds_.Forget(worker.entry.id);
   }
   worker.incarnation = report.incarnation;
   worker.ReadClock(report.clock_ms, now);
@@ -467,6 +481,10 @@
     if (NeedsRenewal(worker, now))
       SendRenewal(worker, now);
   }
+  if (now - speeds_fitted_at_ >= kSpeedsInterval) {
+    speeds_fitted_at_ = now;
+    speeds_.Fit();
+  }
   RefuseOverdue(now);
   EndEvacuatedJobs(now);
   // Queued tasks are tried at each tick, since the exclusion of a worker ends
