--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -130,13 +130,12 @@
 };
 
 inline constexpr EnumNames<LogField, 29> kLogFieldNames{
-    {"job",       "task",           "run",         "queue",
-     "worker",    "shard",          "data_center",         "peer",        "version",
-     "token",     "cause",          "outcome",     "status",
-     "age_ms",    "elapsed_ms",     "expected_ms", "left_ms",
-     "waited_ms", "retry_after_ms", "room",        "size",
-     "tasks",     "queued",         "phase",       "strikes",
-     "count",     "home",           "via",         "reason"}};
+    {"job",         "task",        "run",       "queue",          "worker",
+     "shard",       "data_center", "peer",      "version",        "token",
+     "cause",       "outcome",     "status",    "age_ms",         "elapsed_ms",
+     "expected_ms", "left_ms",     "waited_ms", "retry_after_ms", "room",
+     "size",        "tasks",       "queued",    "phase",          "strikes",
+     "count",       "home",        "via",       "reason"}};
 
 // kPerRequest lines are limited by the budget. kState lines, about the state of
 // the whole process, are few and are dropped only if the buffer is full.
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -134,24 +134,22 @@
 }
 
 bool LeaseDispatcher::CanEverFit(const Job& job) const {
-  return std::all_of(
-      job.request.groups.begin(), job.request.groups.end(),
-      [&](const TaskGroup& group) {
-        return HasWorkerFor(job, group, /*is_evacuated=*/false);
-      });
+  return std::all_of(job.request.groups.begin(), job.request.groups.end(),
+                     [&](const TaskGroup& group) {
+                       return HasWorkerFor(job, group, /*is_evacuated=*/false);
+                     });
 }
 
 bool LeaseDispatcher::HasWorkerFor(const Job& job,
                                    const TaskGroup& group,
                                    bool is_evacuated) const {
-  return std::any_of(
-      workers_.begin(), workers_.end(), [&](const auto& entry) {
-        const LeasedWorker& worker = entry.second;
-        return worker.is_evacuated == is_evacuated &&
-               worker.entry.service == job.request.policy.service &&
-               !worker.entry.leaving && !worker.releasing &&
-               group.each.FitsIn(worker.entry.capacity);
-      });
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const LeasedWorker& worker = entry.second;
+    return worker.is_evacuated == is_evacuated &&
+           worker.entry.service == job.request.policy.service &&
+           !worker.entry.leaving && !worker.releasing &&
+           group.each.FitsIn(worker.entry.capacity);
+  });
 }
 
 bool LeaseDispatcher::NeedsEvacuatedWorkers(const Job& job) const {
@@ -211,7 +209,9 @@
         worker.outcome_health.strikes() > 1)
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
-    load.free += static_cast<double>(worker.FreeCapacity().millicores);
+    // A cold worker gets no second task.
+    if (worker.runs.empty() || !worker.IsCold(now))
+      load.free += static_cast<double>(worker.FreeCapacity().millicores);
     for (const auto& [task, run] : worker.runs) {
       // A run past its expected time still needs some more.
       const Duration left = std::max(run.expected / kOverdueRunDivisor,
@@ -273,11 +273,11 @@
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(workers_,
-                                        {group, job.request.policy.service,
-                                         job.request.id, task.avoided, timing_,
-                                         job.was_started},
-                                        now);
+    LeasedWorker* worker =
+        ChooseWorker(workers_,
+                     {group, job.request.policy.service, job.request.id,
+                      task.avoided, timing_, job.was_started},
+                     now);
     if (!worker)
       break;
     StartTask(job, i, *worker, now);
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -60,8 +60,8 @@
   if (now > command.send_before || are_starts_held_)
     return false;
   const auto it = workers_.find(command.target.worker);
-  return it != workers_.end() && (!it->second.is_evacuated ||
-                                  now < it->second.last_starts_until);
+  return it != workers_.end() &&
+         (!it->second.is_evacuated || now < it->second.last_starts_until);
 }
 
 void LeaseDispatcher::Unlist(const std::string& id, Time now) {
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -37,7 +37,8 @@
   LeasedWorker* best = nullptr;
   std::tuple<bool, bool, bool, std::int64_t> best_rank;
   for (auto& [id, worker] : workers) {
-    if (!worker.CanStart(query.timing, now, query.is_job_started) || !IsAllowed(worker, query))
+    if (!worker.CanStart(query.timing, now, query.is_job_started) ||
+        !IsAllowed(worker, query))
       continue;
     const Resources free_capacity = worker.FreeCapacity();
     if (!query.group.each.FitsIn(free_capacity))
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -239,8 +239,8 @@
 
   void SendHeartbeats(Time now) {
     const Ownership& ownership = control_.ownership();
-    if (const std::uint64_t changes = ownership.hand_over_steps() +
-                                      control_.evacuations().changes();
+    if (const std::uint64_t changes =
+            ownership.hand_over_steps() + control_.evacuations().changes();
         std::exchange(urgent_changes_, changes) != changes)
       heartbeats_.SendAllNow();
     else if (now - heartbeats_checked_ < kHeartbeatCheck)
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -136,17 +136,16 @@
 }
 
 json::object ToJson(const WorkerEntry& entry) {
-  json::object object{
-          {"id", entry.id},
-          {"service", entry.service},
-          {"endpoint", entry.endpoint.ToString()},
-          {"dc", entry.data_center},
-          {"millicores", entry.capacity.millicores},
-          {"memory_mb", entry.capacity.memory_mb},
-          {"accelerators", entry.capacity.accelerators},
-          {"labels", json::value_from(entry.labels)},
-          {"leaving", entry.leaving},
-          {"incarnation", entry.incarnation}};
+  json::object object{{"id", entry.id},
+                      {"service", entry.service},
+                      {"endpoint", entry.endpoint.ToString()},
+                      {"dc", entry.data_center},
+                      {"millicores", entry.capacity.millicores},
+                      {"memory_mb", entry.capacity.memory_mb},
+                      {"accelerators", entry.capacity.accelerators},
+                      {"labels", json::value_from(entry.labels)},
+                      {"leaving", entry.leaving},
+                      {"incarnation", entry.incarnation}};
   if (!entry.cold.IsOver())
     object["cold_us"] = ToMicroseconds(entry.cold.remaining);
   return object;
@@ -290,9 +289,10 @@
 
 std::string EncodeJobAnswer(const JobAnswer& answer) {
   const JobResult& result = answer.result;
-  json::object object{{"outcome", kJobOutcomeNames[result.outcome]},
-                      {"cause", kJobCauseNames[NameForEarlierBuilds(result.cause)]},
-                      {"retry_after_us", ToMicroseconds(result.retry_after)}};
+  json::object object{
+      {"outcome", kJobOutcomeNames[result.outcome]},
+      {"cause", kJobCauseNames[NameForEarlierBuilds(result.cause)]},
+      {"retry_after_us", ToMicroseconds(result.retry_after)}};
   if (result.cause == JobCause::kEvacuated)
     object["evacuated"] = true;
   if (answer.load)
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -69,7 +69,8 @@
   void InitializeShardCounts(Time now);
   void ReadOperatorTable();
 
-  // What a page of a table holds: all rows, or those changed since the last one.
+  // What a page of a table holds: all rows, or those changed since the last
+  // one.
   struct PageOrigin {
     bool is_full = false;
     Time requested;
--- a/Tests/LibLease/evacuation_test.cc
+++ b/Tests/LibLease/evacuation_test.cc
@@ -39,7 +39,8 @@
   }
 
   // Keeps the worker's runs reported as running.
-  void AdvanceRunning(Duration duration, const std::vector<StartCommand>& runs) {
+  void AdvanceRunning(Duration duration,
+                      const std::vector<StartCommand>& runs) {
     for (Duration passed{}; passed < duration; passed += milliseconds(10)) {
       fixture.Advance(milliseconds(10));
       RenewReport report;
@@ -83,8 +84,7 @@
   CHECK_EQUAL(2, fixture.starts.size());
   for (const StartCommand& start : fixture.starts)
     CHECK_EQUAL("b", start.target.worker);
-  CHECK_EQUAL(64'000,
-              fixture.dispatcher.Load(fixture.now).capacity_millicores);
+  CHECK_EQUAL(64'000, fixture.dispatcher.Load(fixture.now).capacity_millicores);
 }
 
 // A worker that is listed later, or again with another token, is evacuated too.
@@ -143,8 +143,8 @@
   fixture.Submit(MakeJob("job", fixture.now));
   const StartCommand start = fixture.starts.at(0);
   CHECK(fixture.dispatcher.MaySend(start, fixture.now));
-  CHECK(!fixture.dispatcher.MaySend(start,
-                                    start.send_before + milliseconds(1)));
+  CHECK(
+      !fixture.dispatcher.MaySend(start, start.send_before + milliseconds(1)));
   Evacuate();
   CHECK(!fixture.dispatcher.MaySend(start, fixture.now));
   fixture.AnswerStarts(CommandAnswer::kNotSent);
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -76,10 +76,11 @@
 
   // The outcomes by kind. Those of callers that had to send their job again are
   // kept apart, under the kind's name with kReturned.
-  std::map<std::string, LoadOutcome> Run(const std::vector<LoadKind>& kinds,
-                                         int seconds,
-                                         const Outage& outage = {},
-                                         const LoadEvacuation& evacuation = {}) {
+  std::map<std::string, LoadOutcome> Run(
+      const std::vector<LoadKind>& kinds,
+      int seconds,
+      const Outage& outage = {},
+      const LoadEvacuation& evacuation = {}) {
     evacuated_at_ = fixture_.now + evacuation.begin;
     withdrawn_at_ = evacuated_at_ + evacuation.length;
     const Time begin = fixture_.now + outage.begin;
--- a/Tests/LibLease/load_test.cc
+++ b/Tests/LibLease/load_test.cc
@@ -119,8 +119,8 @@
 
 // A quarter of the processors is evacuated for 8 s. Nothing may start there,
 // callers must get what the remaining workers can serve (as if the others did
-// not exist), and by the withdrawal the capacity must be offered again at once: a
-// heartbeat later other VMs know it.
+// not exist), and by the withdrawal the capacity must be offered again at once:
+// a heartbeat later other VMs know it.
 TEST(Load, a_quarter_of_the_workers_is_evacuated) {
   for (const double load : {0.5, 0.8}) {
     for (unsigned seed = 11; seed < 14; ++seed) {
@@ -128,8 +128,7 @@
           .begin = std::chrono::milliseconds(2000),
           .length = std::chrono::milliseconds(8000)};
       LoadSimulation simulation(seed);
-      const auto outcomes =
-          simulation.Run(MixOf(load), 12, {}, kEvacuation);
+      const auto outcomes = simulation.Run(MixOf(load), 12, {}, kEvacuation);
       const auto expected =
           LoadSimulation(seed, 0, 0, LoadSimulation::kFirstEvacuated)
               .Run(MixOf(load), 12);
--- a/Tests/LibLeaseEntry/lease_simulation.cc
+++ b/Tests/LibLeaseEntry/lease_simulation.cc
@@ -236,13 +236,13 @@
   for (int peer = 0; peer < kVms; ++peer) {
     if (peer == index || !ReachesPeers(index, peer))
       continue;
-    Schedule(now_ + kNetworkDelayMs, [this, peer, heartbeat,
-                                      incarnation_id =
-                                          vms_[peer].incarnation_id] {
-      RunOnVm(peer, incarnation_id, [this, peer, heartbeat] {
-        vms_[peer].control->DidReceiveHeartbeat(heartbeat, Now());
-      });
-    });
+    Schedule(
+        now_ + kNetworkDelayMs,
+        [this, peer, heartbeat, incarnation_id = vms_[peer].incarnation_id] {
+          RunOnVm(peer, incarnation_id, [this, peer, heartbeat] {
+            vms_[peer].control->DidReceiveHeartbeat(heartbeat, Now());
+          });
+        });
   }
 }
 
--- a/Tests/LibSchedule/evacuations_test.cc
+++ b/Tests/LibSchedule/evacuations_test.cc
@@ -60,13 +60,15 @@
     Evacuations lagging_peer;
     std::vector<std::function<void()>> news;
     for (const auto& [data_center, evacuation] : history.rows) {
-      news.emplace_back([&, data_center = data_center, evacuation = evacuation] {
-        table.Apply(data_center, evacuation, kNow);
-      });
-      news.emplace_back([&, data_center = data_center, evacuation = evacuation] {
-        lagging_peer.Apply(data_center, evacuation, kNow);
-        table.Merge(lagging_peer.Shared(kNow), kNow);
-      });
+      news.emplace_back(
+          [&, data_center = data_center, evacuation = evacuation] {
+            table.Apply(data_center, evacuation, kNow);
+          });
+      news.emplace_back(
+          [&, data_center = data_center, evacuation = evacuation] {
+            lagging_peer.Apply(data_center, evacuation, kNow);
+            table.Merge(lagging_peer.Shared(kNow), kNow);
+          });
     }
     for (std::uint64_t version = 10; version <= last; ++version)
       news.emplace_back([&, version] {
