--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -210,7 +210,9 @@
         worker.outcome_health.strikes() > 1)
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
-    load.free += static_cast<double>(worker.FreeCapacity().millicores);
+    // A cold worker gets no second task.
+    if (worker.runs.empty() || !worker.IsCold(now))
+      load.free += static_cast<double>(worker.FreeCapacity().millicores);
     for (const auto& [task, run] : worker.runs) {
       // A run past its expected time still needs some more.
       const Duration left = std::max(run.expected / kOverdueRunDivisor,
