LibLease: Let no pause of a process cost the work of others

A process that had been paused claimed the shards of healthy owners in its first tick, took over busy workers of a predecessor, sent renewals however late they were, and started tasks on workers that may have begun to leave meanwhile. A report that was read late counted as lack of progress, so that the owner stopped the run and excluded its worker.

A gap of over 500 ms counts as a pause: silence counts from its end, and nothing starts before the list of workers was read again. Progress is dated by the worker's clock.

--- a/Libraries/LibLease/commands.h
+++ b/Libraries/LibLease/commands.h
@@ -46,6 +46,7 @@
   // The worker answers at the next end of a run, or after this time.
   Duration wait{};
   bool fresh_connection = false;  // pooled connections may be dead
+  // Not sent after this time, when the lease has run out.
   Time send_before;
   Duration timeout{};
 };
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -74,6 +74,8 @@
 
   void Tick(Time now);
 
+  // While held, no task is started.
+  void HoldStarts(bool are_held) { starts_held_ = are_held; }
   // Places all waiting tasks that fit and returns the actions since the last
   // call.
   std::vector<LeaseAction> TakeActions(Time now);
@@ -175,9 +177,10 @@
   void ExcludeWorker(LeasedWorker& worker, Time now);
   void StopRun(LeasedWorker& worker, LeasedRun& run, Time now);
   void StopMissingStarts(LeasedWorker& worker, std::uint64_t renewal, Time now);
-  void StopStragglers(LeasedWorker& worker, Time now);
-  bool IsStalled(const LeasedRun& run, Time now) const;
-  bool IsStraggling(const LeasedRun& run, Time now) const;
+  // `made_at`: when the report was made that shows the progress of the runs.
+  void StopStragglers(LeasedWorker& worker, Time made_at, Time now);
+  bool IsStalled(const LeasedRun& run, Time made_at) const;
+  bool IsStraggling(const LeasedRun& run, Time made_at) const;
   void ProbeNow(LeasedWorker& worker, Time now);
   void SendRenewal(LeasedWorker& worker, Time now);
   bool NeedsRenewal(const LeasedWorker& worker, Time now) const;
@@ -198,6 +201,7 @@
   std::vector<std::string> fenced_;
   LeaseCounters counters_;
   bool schedule_due_ = false;
+  bool starts_held_ = false;
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -442,7 +442,7 @@
 }
 
 std::vector<LeaseAction> LeaseDispatcher::TakeActions(Time now) {
-  if (schedule_due_)
+  if (schedule_due_ && !starts_held_)
     Schedule(now);
   return std::exchange(actions_, {});
 }
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -146,29 +146,31 @@
   }
 }
 
-bool LeaseDispatcher::IsStalled(const LeasedRun& run, Time now) const {
-  return now - run.progressed > std::max(kStallTime, run.expected / 4);
+bool LeaseDispatcher::IsStalled(const LeasedRun& run, Time made_at) const {
+  return made_at - run.progressed > std::max(kStallTime, run.expected / 4);
 }
 
-bool LeaseDispatcher::IsStraggling(const LeasedRun& run, Time now) const {
-  const Duration elapsed = now - run.started;
+bool LeaseDispatcher::IsStraggling(const LeasedRun& run, Time made_at) const {
+  const Duration elapsed = made_at - run.started;
   if (elapsed < kStragglerCheckShare * run.expected || run.percent <= 0)
     return false;
-  const Duration total = ProjectTotal(run, now);
+  const Duration total = ProjectTotal(run, made_at);
   return total > kStragglerFactor * run.expected &&
          total - elapsed > run.expected + kRestartCost;
 }
 
-void LeaseDispatcher::StopStragglers(LeasedWorker& worker, Time now) {
+void LeaseDispatcher::StopStragglers(LeasedWorker& worker,
+                                     Time made_at,
+                                     Time now) {
   for (auto& [task, run] : worker.runs) {
     if (run.state != RunState::kRunning || run.job.empty())
       continue;
-    const bool is_stalled = IsStalled(run, now);
-    if (!is_stalled && !IsStraggling(run, now))
+    const bool is_stalled = IsStalled(run, made_at);
+    if (!is_stalled && !IsStraggling(run, made_at))
       continue;
     ++counters_.stragglers;
     if (const auto job = jobs_.find(run.job); job != jobs_.end() && !is_stalled)
-      job->second.tasks[run.task].projected = ProjectTotal(run, now);
+      job->second.tasks[run.task].projected = ProjectTotal(run, made_at);
     ExcludeWorker(worker, now);
     StopRun(worker, run, now);
   }
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -131,7 +131,7 @@
       .acknowledged = worker.acknowledged,
       .wait = waits ? wait : Duration{},
       .fresh_connection = worker.unanswered_renewals > 0,
-      .send_before = now + timing_.command_timeout};
+      .send_before = now + timing_.lease};
   command.timeout = command.wait + timing_.command_timeout;
   if (worker.awaited_renewal != 0)
     ++worker.overlapping_renewals;
@@ -231,8 +231,10 @@
     // list the runs of the old one, but may list a run that was started since.
     worker.acknowledged = 0;
     worker.acknowledged_sent = 0;
+    worker.has_report = false;
   }
   worker.incarnation = report.incarnation;
+  const Time made_at = worker.ReadReportTime(report.clock_ms, now);
   worker.ReadClock(report.clock_ms, now);
   for (const EndedTask& ended : report.ended) {
     worker.acknowledged = std::max(worker.acknowledged, ended.sequence);
@@ -258,7 +260,7 @@
     present.insert(running.run.task);
     if (running.percent > run.percent) {
       run.percent = running.percent;
-      run.progressed = now;
+      run.progressed = made_at;
     }
     run.was_seen = true;
     if (run.state == RunState::kStarting || run.state == RunState::kUnknown)
@@ -280,7 +282,7 @@
   }
   SetPhase(worker, WorkerPhase::kHeld, now);
   StopMissingStarts(worker, command.number, now);
-  StopStragglers(worker, now);
+  StopStragglers(worker, made_at, now);
 }
 
 void LeaseDispatcher::ExcludeWorker(LeasedWorker& worker, Time now) {
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -2,6 +2,7 @@
 // use its capacity.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,7 +32,7 @@
   Time started;
   Duration expected{};
   int percent = 0;
-  Time progressed;        // when `percent` last rose
+  Time progressed;  // when the report was made in which `percent` last rose
   bool was_seen = false;  // an answer or a report showed the run
   // Number of the first lease renewal whose report shows for certain whether
   // the worker still has the run. Set when a start or stop command is accepted.
@@ -75,6 +76,9 @@
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // reading of the worker's clock at `clock_at`
   Time clock_at;
+  bool has_report = false;           // of this incarnation
+  std::int64_t report_clock_ms = 0;  // worker's clock in its last report
+  Time report_made_at;
   Time lapsed_at;    // all leases granted so far have ended by this time
   Time answered_at;  // of the last answer to any command
   std::uint64_t next_renewal_number = 1;
@@ -132,6 +136,27 @@
     return clock_ms + static_cast<std::int64_t>(granted_ms);
   }
 
+  // Returns when a report was made that shows `worker_clock_ms` and arrived
+  // now. It may have waited on the network, or for this process to resume.
+  // Advances a little faster than the worker's clock, which may be slow.
+  Time ReadReportTime(std::int64_t worker_clock_ms, Time now) {
+    constexpr double kAdvance = 1.05;
+    const double since_last_ms =
+        static_cast<double>(worker_clock_ms - report_clock_ms);
+    const Time made_at =
+        has_report
+            ? std::min(now, report_made_at +
+                                FromMilliseconds(kAdvance * since_last_ms))
+            : now;
+    // Answers to overlapping renewals may arrive in another order.
+    if (!has_report || since_last_ms > 0) {
+      has_report = true;
+      report_clock_ms = worker_clock_ms;
+      report_made_at = made_at;
+    }
+    return made_at;
+  }
+
   void ReadClock(std::int64_t worker_clock_ms, Time now) {
     has_clock = true;
     clock_ms = worker_clock_ms;
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -20,6 +20,10 @@
 constexpr double kBalanceFactor = 2;
 constexpr double kLeastPower = 0.01;  // cores
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+// Ticks come each 10 to 50 ms, and a small VM may be throttled for some 100 ms.
+// The list of workers is up to 1.4 s old, and a worker that has begun to leave
+// may get tasks for 2 s.
+constexpr Duration kPauseThreshold = std::chrono::milliseconds(500);
 
 // Shards per core if the VM owned one shard more.
 double ShardsPerCore(std::size_t shards, double power) {
@@ -102,7 +106,8 @@
   // For a VM without any heartbeat so far, the time counts from when its record
   // was read.
   const Time counted_from =
-      std::max({peer.last_heartbeat_at, peer.reachable_since, store_regained_});
+      std::max({peer.last_heartbeat_at, peer.reachable_since, store_regained_,
+                resumed_at_});
   const Duration timeout = peer.last_heartbeat_at == Time::min()
                                ? timing_.owner_timeout
                                : TimeoutOf(peer);
@@ -313,7 +318,8 @@
                                                 Time now) const {
   const auto peer = peers_.find(owned.predecessor);
   if (peer == peers_.end() ||
-      now - peer->second.last_heartbeat_at > TimeoutOf(peer->second))
+      now - std::max(peer->second.last_heartbeat_at, resumed_at_) >
+          TimeoutOf(peer->second))
     return nullptr;
   const ShardStatus* status = FindStatus(peer->second.last_heartbeat, id);
   // With a later version, that VM has claimed the shard back from this one.
@@ -388,7 +394,14 @@
   }
 }
 
+void Ownership::NoticePause(Time now) {
+  if (noticed_at_ != Time() && now - noticed_at_ > kPauseThreshold)
+    resumed_at_ = now;
+  noticed_at_ = now;
+}
+
 void Ownership::Tick(Time now) {
+  NoticePause(now);
   for (auto& [id, shard] : shards_)
     ConsiderClaim(id, shard, now);
   std::vector<ShardId> handed_over;
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -107,6 +107,12 @@
   // Sets the workers of a released shard that may still run this owner's tasks.
   void SetBusy(const ShardId& shard, std::vector<std::string> busy);
 
+  // Notices that the process was paused: what it knows of other VMs is as old
+  // as the pause, and their silence meanwhile proves nothing.
+  void NoticePause(Time now);
+  Time resumed_at() const { return resumed_at_; }
+  bool has_store() const { return has_store_; }
+
   void Tick(Time now);
   void Leave(Time now);
   bool is_leaving() const { return leaving_; }
@@ -243,6 +249,8 @@
   bool leaving_ = false;
   bool has_store_ = true;
   Time store_regained_ = Time::min();
+  Time noticed_at_{};  // last call of NoticePause
+  Time resumed_at_{};  // end of the last pause
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLeaseEntry/command_sender.cc
+++ b/Libraries/LibLeaseEntry/command_sender.cc
@@ -65,10 +65,20 @@
 
 void CommandSender::Renew(RenewCommand&& command) {
   fibers_.Run([this, command = std::move(command)] {
-    const HttpResult<HttpResponse> response = renew_pool_.Exchange(
-        command.target.endpoint, platform::EncodeRenew(command),
-        ToTimeout(command.timeout), command.fresh_connection);
-    const platform::RenewReply reply = platform::DecodeRenewReply(response);
+    platform::RenewReply reply{.answer = CommandAnswer::kNotSent};
+    HttpResult<std::unique_ptr<HttpConnection>> connection =
+        renew_pool_.Acquire(command.target.endpoint, command.fresh_connection);
+    if (!connection) {
+      reply = platform::DecodeRenewReply(connection.error());
+    } else if (BootClock::now() <= command.send_before) {
+      const HttpResult<HttpResponse> response =
+          (*connection)
+              ->Exchange(platform::EncodeRenew(command),
+                         ToTimeout(command.timeout));
+      reply = platform::DecodeRenewReply(response);
+      if (response)
+        renew_pool_.Release(command.target.endpoint, std::move(*connection));
+    }
     const Time now = BootClock::now();
     control_.dispatcher().DidRenew(command, reply.answer, reply.report, now);
     control_.Pump(now);
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -34,6 +34,10 @@
                                       std::vector<WorkerEntry> workers,
                                       Time read_at,
                                       Time now) {
+  ownership_.NoticePause(now);
+  // The list may have been sent before the pause.
+  if (AwaitsListAfterPause(now))
+    return;
   const std::vector<ShardId> owned = ownership_.OwnedShards();
   const bool is_complete =
       std::all_of(owned.begin(), owned.end(), [&](const ShardId& shard) {
@@ -59,6 +63,7 @@
 void LeaseControl::ReplaceWorkers(std::vector<WorkerEntry> workers,
                                   Time read_at,
                                   Time now) {
+  ownership_.NoticePause(now);
   workers_read_at_ = read_at;
   if (workers != workers_) {
     workers_ = std::move(workers);
@@ -138,7 +143,15 @@
   return workers_read_at_ >= claimed || now - claimed > kFreshListTimeout;
 }
 
+bool LeaseControl::AwaitsListAfterPause(Time now) const {
+  const Time resumed_at = ownership_.resumed_at();
+  return resumed_at > workers_read_at_ && ownership_.has_store() &&
+         now - resumed_at <= kFreshListTimeout;
+}
+
 bool LeaseControl::NeedsFreshWorkerList() const {
+  if (ownership_.OwnsAny() && ownership_.resumed_at() > workers_read_at_)
+    return true;
   return std::any_of(workers_by_shard_.begin(), workers_by_shard_.end(),
                      [this](const auto& entry) {
                        return ownership_.Owns(entry.first) &&
@@ -246,6 +259,8 @@
 }
 
 void LeaseControl::Pump(Time now) {
+  ownership_.NoticePause(now);
+  dispatcher_.HoldStarts(AwaitsListAfterPause(now));
   DropFencedShards(now);
   for (LeaseAction& action : dispatcher_.TakeActions(now)) {
     if (auto* start = std::get_if<StartCommand>(&action))
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -70,7 +70,8 @@
   const Ownership::Self& self() const { return self_; }
   const OwnershipTiming& ownership_timing() const { return ownership_timing_; }
   Time workers_read_at() const { return workers_read_at_; }
-  // Whether a shard was claimed after the list of workers was read.
+  // Whether a shard was claimed after the list of workers was read, or this
+  // process was paused since.
   bool NeedsFreshWorkerList() const;
 
   // VMs that own workers with known capacity and accept jobs.
@@ -81,6 +82,9 @@
   void IndexWorkers();
   void SyncWorkers(Time now);
   void SyncWorker(const WorkerEntry& entry, Time now);
+  // Whether nothing may start since the list of workers is older than a pause
+  // of this process: a worker may have begun to leave meanwhile.
+  bool AwaitsListAfterPause(Time now) const;
   bool IsListFresh(const ShardId& shard, Time now) const;
   void RemoveMissingWorkers(Time now);
   void UpdateBusyWorkers();
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -28,6 +28,35 @@
   CHECK(fixture.finished[0].result.outcome == JobOutcome::kSucceeded);
 }
 
+// The report of a run was made right after the one before, and arrived 600 ms
+// late, since this process was paused. It doesn't show that the run stalls.
+TEST(LeaseDispatcher, run_whose_report_is_late_is_not_stalled) {
+  fixture.OwnVerified(MakeWorker("a"));
+  fixture.Submit(MakeJob("job", fixture.now, {.tasks = 1}));
+  const RunId run = fixture.starts[0].run;
+  fixture.AnswerStarts(CommandAnswer::kAccepted);
+  fixture.Advance(milliseconds(20));
+  fixture.AnswerRenewals({.running = {{run, 10}}});
+  const auto report_at = [&](Time made, int percent) {
+    const std::int64_t clock_ms =
+        1000 + std::chrono::duration_cast<milliseconds>(made.time_since_epoch())
+                   .count();
+    for (const RenewCommand& renewal : std::exchange(fixture.renewals, {}))
+      fixture.dispatcher.DidRenew(
+          renewal, CommandAnswer::kAccepted,
+          {.incarnation = 1, .clock_ms = clock_ms, .running = {{run, percent}}},
+          fixture.now);
+    fixture.Pump();
+  };
+  fixture.Advance(milliseconds(600));
+  report_at(fixture.now - milliseconds(595), 10);
+  CHECK_EQUAL(0, fixture.stops.size());
+  // The next one is in time, and shows a run that has stalled.
+  fixture.Advance(milliseconds(10));
+  report_at(fixture.now, 10);
+  CHECK_EQUAL(1, fixture.stops.size());
+}
+
 TEST(LeaseDispatcher, worker_is_not_used_before_its_first_report) {
   fixture.dispatcher.Own(MakeWorker("a"), kToken, fixture.now);
   fixture.Submit(MakeJob("job", fixture.now));
