--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -53,10 +53,11 @@
   kTaskStopped,
   kAnswered,
   kRequestMalformed,
+  kUnexpectedError,
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 39> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 40> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -95,6 +96,7 @@
      "task_stopped",
      "answered",
      "request_malformed",
+     "unexpected_error",
      "lines_dropped"}};
 
 enum class LogField {
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -204,13 +204,14 @@
   void ExcludeWorker(LeasedWorker& worker, Time now);
   void StopRun(LeasedWorker& worker, LeasedRun& run, Time now);
   void StopMissingStarts(LeasedWorker& worker, std::uint64_t renewal, Time now);
-  void StopStragglers(LeasedWorker& worker, Time now);
-  bool IsStalled(const LeasedRun& run, Time now) const;
+  // `made_at`: when the report was made that shows the progress of the runs.
+  void StopStragglers(LeasedWorker& worker, Time made_at, Time now);
+  bool IsStalled(const LeasedRun& run, Time made_at) const;
   // Whether the run takes far longer than its job, its worker and their errors
   // explain, and its task would end sooner elsewhere.
   bool IsStraggling(const LeasedWorker& worker,
                     const LeasedRun& run,
-                    Time now) const;
+                    Time made_at) const;
   // Duration of the job's other runs over their expected time, or nothing if
   // none has progressed.
   std::optional<double> RatioOfSiblings(const LeasedRun& run, Time now) const;
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -50,6 +50,10 @@
                                       std::vector<WorkerEntry> workers,
                                       Time read_at,
                                       Time now) {
+  ownership_.NoticePause(now);
+  // The list may have been sent before the pause.
+  if (AwaitsListAfterPause(now))
+    return;
   const std::vector<ShardId> owned = ownership_.OwnedShards();
   const bool is_complete =
       std::all_of(owned.begin(), owned.end(), [&](const ShardId& shard) {
@@ -75,6 +79,7 @@
 void LeaseControl::ReplaceWorkers(std::vector<WorkerEntry> workers,
                                   Time read_at,
                                   Time now) {
+  ownership_.NoticePause(now);
   workers_read_at_ = read_at;
   if (workers != workers_) {
     workers_ = std::move(workers);
@@ -154,7 +159,15 @@
   return workers_read_at_ >= claimed || now - claimed > kFreshListTimeout;
 }
 
+bool LeaseControl::AwaitsListAfterPause(Time now) const {
+  const Time resumed_at = ownership_.resumed_at();
+  return resumed_at > workers_read_at_ && ownership_.has_store() &&
+         now - resumed_at <= kFreshListTimeout;
+}
+
 bool LeaseControl::NeedsFreshWorkerList() const {
+  if (ownership_.OwnsAny() && ownership_.resumed_at() > workers_read_at_)
+    return true;
   return std::any_of(workers_by_shard_.begin(), workers_by_shard_.end(),
                      [this](const auto& entry) {
                        return ownership_.Owns(entry.first) &&
@@ -203,7 +216,7 @@
         .Add(LogField::kVia, via);
     reread_since_.reset();
   }
-  dispatcher_.HoldStarts(AwaitsOperatorTable());
+  HoldStartsWhileStale(now);
 }
 
 void LeaseControl::DidChangeEvacuations(const std::vector<std::string>& changed,
@@ -273,7 +286,7 @@
   DidChangeEvacuations(evacuations_.Merge(heartbeat.evacuations, now),
                        heartbeat.name, Time::min(), now);
   if (was_awaited)
-    dispatcher_.HoldStarts(AwaitsOperatorTable());
+    HoldStartsWhileStale(now);
 }
 
 Heartbeat LeaseControl::MakeHeartbeat(Duration interval, Time now) const {
@@ -283,7 +296,12 @@
   return heartbeat;
 }
 
+void LeaseControl::HoldStartsWhileStale(Time now) {
+  dispatcher_.HoldStarts(AwaitsOperatorTable() || AwaitsListAfterPause(now));
+}
+
 void LeaseControl::DetectPause(Time now) {
+  ownership_.NoticePause(now);
   const bool was_paused = active_at_ && now - *active_at_ > kLongestGap;
   active_at_ = now;
   if (was_paused) {
@@ -298,7 +316,7 @@
         .Add(LogField::kCause, "no answer");
     reread_since_.reset();
   }
-  dispatcher_.HoldStarts(AwaitsOperatorTable());
+  HoldStartsWhileStale(now);
 }
 
 void LeaseControl::Submit(JobRequest job, Time now) {
