LibSchedule: Pass on what is learned about classes of workers

After a restart or a change of owner, all factors were 1 until each worker had shown its speed. The list reader of a data centre now writes mean and deviation of the classes (labels, capacity) into a row of its own in mustardbank_learned, at most 10 KB. A process reads it at its start, and each minute while it owns no worker. A recalled class counts as the first observation of a worker without runs. Rows of queues are unchanged; earlier builds skip the new row with a log line, as this build skips a corrupt one. Implausible values are not used, and a wrong row is corrected by runs.

Test: LibScheduleTests -g WorkerSpeeds, LibLeaseEntryTests -g PeerCodec.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -91,6 +91,10 @@
   const LeaseCounters& counters() const { return counters_; }
   const WorkerSpeeds& speeds() const { return speeds_; }
 
+  // What the runs so far have shown about classes of workers.
+  LearnedClasses LearnedWorkers() const { return speeds_.Learned(); }
+  void Recall(const LearnedClasses& classes) { speeds_.Recall(classes); }
+
   // What the jobs so far have shown about their queues.
   LearnedQueues Learned() const;
   // Takes over what another process learned about queues of which this one
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -18,6 +18,11 @@
 constexpr std::size_t kMostLearnedBytes = 45'000;
 // What a queue takes in that row beside its name, at most.
 constexpr std::size_t kLearnedQueueBytes = 160;
+constexpr std::string_view kClassesPrefix = "worker_classes/";
+// Of one row of classes of workers: some 200 classes.
+constexpr std::size_t kMostClassesBytes = 10'000;
+// What a class takes in that row beside its name, at most.
+constexpr std::size_t kLearnedClassBytes = 36;
 
 // Decodes a JSON object with `read`, which throws if a field is missing or of
 // another type. Empty if that happens or `text` is not an object.
@@ -399,6 +404,54 @@
   });
 }
 
+RowChange EncodeLearnedClasses(const std::string& data_center,
+                               const LearnedClasses& classes) {
+  std::vector<const LearnedClasses::value_type*> known;
+  for (const auto& entry : classes)
+    known.push_back(&entry);
+  std::stable_sort(known.begin(), known.end(),
+                   [](const auto* a, const auto* b) {
+                     return a->second.workers > b->second.workers;
+                   });
+  json::object object;
+  std::size_t bytes = 0;
+  for (const auto* entry : known) {
+    // Escapes can make a name six times as long.
+    const std::size_t needed = 6 * entry->first.size() + kLearnedClassBytes;
+    if (bytes + needed > kMostClassesBytes)
+      continue;
+    bytes += needed;
+    const ClassStatistics& statistics = entry->second;
+    object[entry->first] = {statistics.workers,
+                            Rounded(statistics.mean_log_factor),
+                            Rounded(statistics.deviation)};
+  }
+  return {.table = kLearnedTable,
+          .key = LearnedClassesKey(data_center),
+          .value = json::serialize(json::object{{"classes", object}})};
+}
+
+std::string LearnedClassesKey(const std::string& data_center) {
+  return std::string(kClassesPrefix) + data_center;
+}
+
+bool HoldsLearnedClasses(const StoreRow& row) {
+  return row.key.starts_with(kClassesPrefix);
+}
+
+std::optional<LearnedClasses> DecodeLearnedClasses(const StoreRow& row) {
+  return Decode<LearnedClasses>(row.value, [](const json::object& object) {
+    LearnedClasses classes;
+    for (const auto& [name, value] : object.at("classes").as_object()) {
+      const json::array& numbers = value.as_array();
+      classes[name] = {.mean_log_factor = numbers.at(1).to_number<double>(),
+                       .deviation = numbers.at(2).to_number<double>(),
+                       .workers = numbers.at(0).to_number<std::uint32_t>()};
+    }
+    return classes;
+  });
+}
+
 std::string MemberNameOf(const StoreRow& row) {
   return KeyAfter(row, kMemberPrefix).value_or("");
 }
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -10,6 +10,7 @@
 #include "LibLease/row_store.h"
 #include "LibLease/shard.h"
 #include "LibSchedule/job.h"
+#include "LibSchedule/learned_classes.h"
 #include "LibSchedule/learned_queues.h"
 
 namespace mustardbank {
@@ -50,8 +51,9 @@
   std::uint32_t count = 0;
 };
 
-// The table that holds what the dispatchers have learned, a row for each data
-// centre. It is read only when a process starts.
+// The table that holds what the dispatchers have learned: for each data centre
+// a row about queues and one about classes of workers. It is read when a
+// process starts, and by VMs without workers.
 inline constexpr const char* kLearnedTable = "mustardbank_learned";
 
 std::string MemberKey(const std::string& name);
@@ -72,6 +74,14 @@
                               const LearnedQueues& queues);
 std::optional<LearnedQueues> DecodeLearnedQueues(const StoreRow& row);
 
+// Rows about classes of workers have keys of their own. Builds that don't know
+// them skip them as unreadable rows of queues.
+RowChange EncodeLearnedClasses(const std::string& data_center,
+                               const LearnedClasses& classes);
+std::string LearnedClassesKey(const std::string& data_center);
+bool HoldsLearnedClasses(const StoreRow& row);
+std::optional<LearnedClasses> DecodeLearnedClasses(const StoreRow& row);
+
 // Empty if the row holds another kind of record or is malformed.
 std::optional<MemberRecord> DecodeMember(const StoreRow& row);
 std::optional<ShardRecord> DecodeShard(const StoreRow& row);
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -37,6 +37,7 @@
 constexpr milliseconds kShareTimeout{300};
 // Queues change slowly, and calls to the store are paid for.
 constexpr milliseconds kLearnedInterval{10'000};
+constexpr milliseconds kRecallInterval{60'000};
 // VMs of a data centre that count its workers at the first start, and the time
 // after which one more does.
 constexpr std::int64_t kWorkerCounters = 2;
@@ -78,8 +79,8 @@
   fibers_.Run([this] { FollowOperatorTable(); });
   fibers_.Run([this] { FollowSharedTable(); });
   fibers_.Run([this] { ReadWorkers(); });
-  fibers_.Run([this] { RecallQueues(); });
-  fibers_.Run([this] { KeepLearnedQueues(); });
+  fibers_.Run([this] { RecallLearned(); });
+  fibers_.Run([this] { KeepLearned(); });
 }
 
 template <typename T>
@@ -200,7 +201,22 @@
   is_reading_operator_ = false;
 }
 
-void StoreLoop::RecallQueues() {
+bool StoreLoop::RecallRow(const StoreRow& row) {
+  if (HoldsLearnedClasses(row)) {
+    const auto classes = DecodeLearnedClasses(row);
+    if (classes)
+      control_.dispatcher().Recall(*classes);
+    if (classes && row.key == LearnedClassesKey(self_.data_center))
+      stored_classes_ = *classes;
+    return classes.has_value();
+  }
+  const auto queues = DecodeLearnedQueues(row);
+  if (queues)
+    control_.dispatcher().Recall(*queues);
+  return queues.has_value();
+}
+
+void StoreLoop::RecallLearned() {
   while (true) {
     const platform::StoreResult<RowPage> page =
         store_.Read(kLearnedTable, kCallTimeout);
@@ -210,29 +226,41 @@
       continue;
     }
     for (const StoreRow& row : page->rows) {
-      if (const auto queues = DecodeLearnedQueues(row)) {
-        control_.dispatcher().Recall(*queues);
+      if (RecallRow(row))
         continue;
-      }
       control_.log()
           .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
                  LogBudget::kState)
           .Add(LogField::kReason, row.key);
     }
+    recalled_at_ = BootClock::now();
     return;
   }
 }
 
-void StoreLoop::KeepLearnedQueues() {
+void StoreLoop::KeepLearned() {
   while (true) {
     SleepFiber(kLearnedInterval);
-    const LearnedQueues queues = control_.dispatcher().Learned();
+    const LeaseDispatcher& dispatcher = control_.dispatcher();
+    // A VM that is to own workers later needs what is learned until then.
+    if (!is_lost_ && dispatcher.workers().empty() &&
+        BootClock::now() - recalled_at_ >= kRecallInterval)
+      RecallLearned();
+    const LearnedQueues queues = dispatcher.Learned();
     if (is_lost_ || queues.empty() ||
         !IsListReader(control_.ownership(), BootClock::now()))
       continue;
+    DidCall(store_.Change(EncodeLearnedQueues(self_.data_center, queues),
+                          kCallTimeout));
+    const LearnedClasses classes = dispatcher.LearnedWorkers();
+    // An empty row replaces one that no longer holds.
+    if (classes == stored_classes_)
+      continue;
     const auto written = store_.Change(
-        EncodeLearnedQueues(self_.data_center, queues), kCallTimeout);
+        EncodeLearnedClasses(self_.data_center, classes), kCallTimeout);
     DidCall(written);
+    if (written)
+      stored_classes_ = classes;
   }
 }
 
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -54,10 +54,12 @@
   bool NeedsWorkers(Time now) const;
   bool IsCountingWorkers(Time now) const;
   bool IsProbing(Time now) const;
-  // Reads what earlier processes learned about queues.
-  void RecallQueues();
+  // Reads what other processes learned about queues and workers.
+  void RecallLearned();
+  // Whether the row could be read.
+  bool RecallRow(const StoreRow& row);
   // Writes what the processes of the data centre learn, now and then.
-  void KeepLearnedQueues();
+  void KeepLearned();
   // Writes this VM's record, retrying until the store has it.
   void AnnounceMember();
   void ApplyOwnRow(const StoreRow& row);
@@ -92,6 +94,9 @@
   bool is_lost_ = false;
   Time started_at_{};
   Time answered_at_{};
+  Time recalled_at_{};
+  // As the store holds them for this data centre.
+  LearnedClasses stored_classes_;
   bool is_reading_operator_ = false;
   std::uint64_t member_version_ = 0;  // of this VM's record; 0: none exists
   bool is_announced_ = false;         // the record names this incarnation
--- a/Libraries/LibSchedule/worker_speeds.cc
+++ b/Libraries/LibSchedule/worker_speeds.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <set>
 
 namespace mustardbank {
@@ -32,6 +33,14 @@
 // and are not told from chance.
 constexpr double kLeastLogFactor = 0.1;
 
+// Recalled classes: a factor beyond this one, some 20, is not believed.
+constexpr double kMostLogFactor = 3;
+// A recalled class counts as at least this uncertain, so that some ten runs of
+// a worker overrule a wrong row.
+constexpr double kLeastRecalledError = 0.1;
+// Runs after which the observations here are better than the recalled ones.
+constexpr std::uint32_t kRunsToForget = 500;
+
 double LogMilliseconds(Duration duration) {
   return std::log(std::max(1.0, ToMilliseconds(duration)));
 }
@@ -57,6 +66,11 @@
 
 }  // namespace
 
+bool ClassStatistics::IsPlausible() const {
+  return std::abs(mean_log_factor) <= kMostLogFactor && deviation >= 0 &&
+         deviation <= kMostLogFactor && workers >= kLeastClassWorkers;
+}
+
 double WorkerSpeed::factor() const {
   return std::exp(log_factor);
 }
@@ -80,6 +94,7 @@
   worker = {.traits = traits, .classes = traits.labels};
   worker.classes.push_back(std::to_string(traits.millicores) + " millicores");
   worker.speed.error = kUnknownError;
+  ApplyRecalled(worker);
   is_due_ = true;
 }
 
@@ -122,9 +137,73 @@
   worker.precision = kRetained * worker.precision + 1 / variance;
   worker.weighted_sum = kRetained * worker.weighted_sum + observed / variance;
   job.DidRun(log_ratio - worker.speed.log_factor, noise + known_variance);
+  if (++runs_ == kRunsToForget)
+    recalled_.clear();
+  is_due_ = true;
+}
+
+LearnedClasses WorkerSpeeds::Learned() const {
+  std::map<std::string, std::vector<double>> log_factors;
+  for (const auto& [id, worker] : workers_) {
+    if (worker.precision <= 0)
+      continue;
+    for (const std::string& name : worker.classes)
+      log_factors[name].push_back(worker.speed.log_factor);
+  }
+  LearnedClasses classes;
+  for (const auto& [name, values] : log_factors) {
+    if (values.size() < kLeastClassWorkers)
+      continue;
+    const double count = static_cast<double>(values.size());
+    const double mean =
+        std::accumulate(values.begin(), values.end(), 0.0) / count;
+    double squares = 0;
+    for (const double value : values)
+      squares += (value - mean) * (value - mean);
+    const ClassStatistics statistics{
+        .mean_log_factor = mean,
+        .deviation = std::sqrt(squares / (count - 1)),
+        .workers = static_cast<std::uint32_t>(values.size())};
+    if (std::abs(mean) >= kLeastLogFactor &&
+        statistics.deviation < kUnknownError && statistics.IsPlausible())
+      classes[name] = statistics;
+  }
+  return classes;
+}
+
+void WorkerSpeeds::Recall(const LearnedClasses& classes) {
+  if (runs_ >= kRunsToForget)
+    return;
+  for (const auto& [name, statistics] : classes) {
+    if (!statistics.IsPlausible())
+      continue;
+    ClassStatistics& known = recalled_[name];
+    if (known.workers <= statistics.workers)
+      known = statistics;
+  }
+  for (auto& [id, worker] : workers_) {
+    if (worker.precision <= 0)
+      ApplyRecalled(worker);
+  }
   is_due_ = true;
 }
 
+// Of several classes, the one whose workers resemble each other most says most.
+void WorkerSpeeds::ApplyRecalled(Worker& worker) const {
+  const ClassStatistics* best = nullptr;
+  for (const std::string& name : worker.classes) {
+    const auto it = recalled_.find(name);
+    if (it != recalled_.end() &&
+        (!best || it->second.deviation < best->deviation))
+      best = &it->second;
+  }
+  if (!best)
+    return;
+  const double error = std::max(best->deviation, kLeastRecalledError);
+  worker.precision = 1 / (error * error);
+  worker.weighted_sum = best->mean_log_factor * worker.precision;
+}
+
 // The method of moments, less what chance explains.
 double WorkerSpeeds::VarianceBetweenWorkers() const {
   WeightedMean mean;
--- a/Libraries/LibSchedule/worker_speeds.h
+++ b/Libraries/LibSchedule/worker_speeds.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "LibCore/boot_clock.h"
+#include "LibSchedule/learned_classes.h"
 
 namespace mustardbank {
 
@@ -71,6 +72,12 @@
   // Derives the speeds from the runs since the last call.
   void Fit();
 
+  // The classes whose workers resemble each other and differ from the rest.
+  LearnedClasses Learned() const;
+  // Takes over what another process learned. It counts for workers without
+  // runs, and is forgotten once enough runs were seen here.
+  void Recall(const LearnedClasses& classes);
+
  private:
   struct Worker {
     WorkerTraits traits;
@@ -83,10 +90,14 @@
     double variance() const;
   };
 
+  // Expects of a worker without runs what was recalled about its classes.
+  void ApplyRecalled(Worker& worker) const;
   double VarianceBetweenWorkers() const;
   std::string FindClass(double between) const;
 
   std::map<std::string, Worker> workers_;
+  LearnedClasses recalled_;
+  std::uint32_t runs_ = 0;
   bool is_due_ = false;
 };
 
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -47,4 +47,38 @@
     CHECK(!DecodeLearnedQueues({.key = "llandeilo", .value = value}));
 }
 
+TEST(PeerCodec, learned_classes_survive_the_store) {
+  const LearnedClasses classes{
+      {"old", {.mean_log_factor = 0.61, .deviation = 0.04, .workers = 8}},
+      {"64000 millicores",
+       {.mean_log_factor = -0.2, .deviation = 0.1, .workers = 16}}};
+  const StoreRow row = RowOf(EncodeLearnedClasses("llandeilo", classes));
+  CHECK(HoldsLearnedClasses(row));
+  CHECK(DecodeLearnedClasses(row) == classes);
+  CHECK(!HoldsLearnedClasses(RowOf(EncodeLearnedQueues("llandeilo", {}))));
+  // Earlier builds read all rows as rows of queues.
+  CHECK(!DecodeLearnedQueues(row));
+}
+
+// A label of any length must not push out the row or the other classes.
+TEST(PeerCodec, rows_with_very_many_classes_stay_small) {
+  LearnedClasses classes;
+  for (std::uint32_t i = 0; i < 3000; ++i)
+    classes["\x01rack" + std::to_string(i)] = {.mean_log_factor = 1.0 / 3,
+                                               .workers = i};
+  classes[std::string(20'000, 'r')] = {.workers = 5000};
+  const RowChange change = EncodeLearnedClasses("llandeilo", classes);
+  CHECK(change.value.size() < 10'100);
+  CHECK(DecodeLearnedClasses(RowOf(change))->contains("\x01rack2999"));
+}
+
+TEST(PeerCodec, unreadable_rows_of_learned_classes_are_reported) {
+  for (const char* value :
+       {"", "[]", "{}", "{\"classes\":3}", "{\"classes\":{\"old\":3}}",
+        "{\"classes\":{\"old\":[1,2]}}", "{\"classes\":{\"old\":[-1,0.1,0.1]}}",
+        "{\"classes\":{\"old\":[8,\"\",0.1]}}"})
+    CHECK(!DecodeLearnedClasses(
+        {.key = "worker_classes/llandeilo", .value = value}));
+}
+
 }  // namespace mustardbank
--- a/Tests/LibSchedule/worker_speeds_test.cc
+++ b/Tests/LibSchedule/worker_speeds_test.cc
@@ -100,6 +100,38 @@
   DOUBLES_EQUAL(known, fixture.LogFactor(0), 0.15);
 }
 
+// A restarted process must not place its first tasks as if workers were alike.
+TEST(WorkerSpeeds, recalled_classes_count_before_the_first_run) {
+  SpeedsFixture fixture(1);
+  fixture.RunJobs(200, ThirdIsSlow);
+  const LearnedClasses learned = fixture.speeds.Learned();
+  SpeedsFixture successor(2);
+  successor.speeds.Recall(learned);
+  successor.speeds.Fit();
+  for (int i = 0; i < kWorkers; ++i)
+    DOUBLES_EQUAL(fixture.LogFactor(i), successor.LogFactor(i), 0.2);
+}
+
+// A row may be of other workers, or damaged.
+TEST(WorkerSpeeds, wrong_recalled_classes_are_corrected) {
+  SpeedsFixture fixture(1);
+  fixture.speeds.Recall(
+      {{"old", {.mean_log_factor = -2, .deviation = 0, .workers = 100}}});
+  fixture.RunJobs(200, ThirdIsSlow);
+  for (int i = 0; i < kWorkers; ++i)
+    DOUBLES_EQUAL(i % 3 == 0 ? 0.555 : -0.278, fixture.LogFactor(i), 0.2);
+}
+
+TEST(WorkerSpeeds, implausible_classes_are_not_recalled) {
+  SpeedsFixture fixture(1);
+  fixture.speeds.Recall(
+      {{"old", {.mean_log_factor = 1e300, .deviation = 0, .workers = 100}},
+       {"new", {.mean_log_factor = -1, .deviation = -1, .workers = 100}}});
+  fixture.speeds.Fit();
+  for (int i = 0; i < kWorkers; ++i)
+    CHECK_EQUAL(1, fixture.speeds.SpeedOf(NameOf(i)).factor());
+}
+
 TEST(WorkerSpeeds, change_of_a_worker_is_followed) {
   SpeedsFixture fixture(1);
   fixture.RunJobs(100, [](int) { return 1.0; });
