LibLease: Wait for siblings before a run counts as straggling

Of a long job, the run whose progress arrived first was moved: its siblings had shown none yet, and no other job ran on its worker. A run is now judged once a sibling has progressed; a run without any progress is still stopped as stalled.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -206,6 +206,8 @@
   double BestFactor(const LeasedWorker& except,
                     const LeasedRun& run,
                     Time now) const;
+  // Whether the job has runs on other workers.
+  bool HasOtherRuns(const LeasedWorker& except, const LeasedRun& run) const;
   // Whether an earlier run of the task was stopped as a straggler.
   bool WasMoved(const LeasedRun& run) const;
   void DidSucceed(LeasedWorker& worker, const LeasedRun& run, Time now);
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -234,6 +234,17 @@
   return best.value_or(1);
 }
 
+bool LeaseDispatcher::HasOtherRuns(const LeasedWorker& except,
+                                   const LeasedRun& run) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const LeasedWorker& worker = entry.second;
+    return &worker != &except &&
+           std::any_of(
+               worker.runs.begin(), worker.runs.end(),
+               [&](const auto& other) { return other.second.job == run.job; });
+  });
+}
+
 bool LeaseDispatcher::WasMoved(const LeasedRun& run) const {
   const auto job = jobs_.find(run.job);
   return job != jobs_.end() &&
@@ -254,6 +265,8 @@
   if (total <= threshold * run.expected)
     return false;
   const std::optional<double> siblings = RatioOfSiblings(run, now);
+  if (!siblings && HasOtherRuns(worker, run))
+    return false;  // their first progress will show whether the job is long
   // Without siblings, a long job is likelier than a fault of a worker whose
   // other runs are as expected.
   if (!siblings &&
