LibLease: Let a task wait for a fast worker if it ends sooner there

At load 0.66 with a third of the workers slow, most late jobs had one task that found only slow workers free. A task that would be late there (with the margin of placement) now waits if a run on a faster worker is predicted to end so early that the task ends in time and sooner. It no longer waits when its job would be refused.

Admission itself (PredictEnd, FitsNow) is unchanged.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -157,6 +157,12 @@
   bool StartWaiting(Job& job, Time now);
   void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
+  // Whether the task would be late on `here`, the best worker that is free, and
+  // end in time and sooner on a faster one that is busy.
+  bool IsWorthWaiting(const Job& job,
+                      const Task& task,
+                      const LeasedWorker& here,
+                      Time now) const;
   // The longest run time of a task of the group that meets the objective.
   static Duration LatestRunTime(const Job& job, std::size_t group, Time now);
   void StartTask(Job& job, std::size_t index, LeasedWorker& worker, Time now);
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -4,6 +4,7 @@
 
 #include "LibLease/lease_dispatcher.h"
 #include "LibLease/placement.h"
+#include "LibSchedule/placement_choice.h"
 
 namespace mustardbank {
 
@@ -22,6 +23,15 @@
 // them are tried again within this time.
 constexpr Duration kNoWorkerRetryAfter = std::chrono::seconds(1);
 
+// Tasks that wait are tried again at least this often.
+constexpr Duration kScheduleInterval = std::chrono::milliseconds(20);
+
+// A run past its expected time still needs some more.
+Duration TimeLeft(const LeasedRun& run, Time now) {
+  return std::max(run.expected / kOverdueRunDivisor,
+                  run.expected - (now - run.started));
+}
+
 }  // namespace
 
 void LeaseDispatcher::Submit(JobRequest request, Time now) {
@@ -170,10 +180,8 @@
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
     load.free += static_cast<double>(worker.FreeCapacity().millicores);
     for (const auto& [task, run] : worker.runs) {
-      // A run past its expected time still needs some more.
-      const Duration left = std::max(run.expected / kOverdueRunDivisor,
-                                     run.expected - (now - run.started));
-      load.runs.push_back({left, static_cast<double>(run.size.millicores)});
+      load.runs.push_back(
+          {TimeLeft(run, now), static_cast<double>(run.size.millicores)});
     }
   }
   for (const QueueKey& key : queue_) {
@@ -241,11 +249,46 @@
         now);
     if (!worker)
       break;
+    if (IsWorthWaiting(job, task, *worker, now))
+      continue;
     StartTask(job, i, *worker, now);
   }
   return job.waiting > 0;
 }
 
+bool LeaseDispatcher::IsWorthWaiting(const Job& job,
+                                     const Task& task,
+                                     const LeasedWorker& here,
+                                     Time now) const {
+  // A job without a started task would be refused soon.
+  if (!job.was_started && now + kScheduleInterval >= LatestStartOf(job))
+    return false;
+  const TaskGroup& group = job.request.groups[task.group];
+  const double run_ms =
+      ToMilliseconds(LongestRun(job.run_times[task.group], group.count));
+  const double factor = speeds_.SpeedOf(here.entry.id).factor();
+  const Duration run_time = FromMilliseconds(run_ms * factor);
+  const Duration latest = LatestRunTime(job, task.group, now);
+  if (!IsLate(run_time, latest))
+    return false;
+  std::vector<BusyPlace> places;
+  for (const auto& [id, worker] : workers_) {
+    const double factor_there = speeds_.SpeedOf(id).factor();
+    if (factor_there >= factor || !worker.CanStart(timing_, now) ||
+        worker.entry.service != here.entry.service || id == task.avoided)
+      continue;
+    const Resources free_capacity = worker.FreeCapacity();
+    for (const auto& [name, run] : worker.runs) {
+      Resources freed = free_capacity;
+      freed += run.size;
+      if (group.each.FitsIn(freed))
+        places.push_back({.free_after = TimeLeft(run, now),
+                          .run_time = FromMilliseconds(run_ms * factor_there)});
+    }
+  }
+  return EndsSoonerByWaiting(places, run_time, latest);
+}
+
 Duration LeaseDispatcher::LatestRunTime(const Job& job,
                                         std::size_t group,
                                         Time now) {
--- a/Libraries/LibSchedule/placement_choice.cc
+++ b/Libraries/LibSchedule/placement_choice.cc
@@ -1,5 +1,6 @@
 #include "LibSchedule/placement_choice.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace mustardbank {
@@ -14,11 +15,26 @@
 
 }  // namespace
 
+bool IsLate(Duration run_time, Duration latest_run_time) {
+  return kErrorMargin * run_time > latest_run_time;
+}
+
+bool EndsSoonerByWaiting(const std::vector<BusyPlace>& places,
+                         Duration run_time,
+                         Duration latest_run_time) {
+  // Without the margin here: with it, the share of jobs in objective of the
+  // load test at 0.66 was 0.938 instead of 0.949.
+  const Duration latest = std::min(run_time, latest_run_time);
+  return std::any_of(places.begin(), places.end(), [&](const BusyPlace& place) {
+    return place.free_after + place.run_time < latest;
+  });
+}
+
 std::optional<std::size_t> ChooseCandidate(
     const std::vector<PlacementCandidate>& candidates,
     Duration latest_run_time) {
   const auto rank = [&](const PlacementCandidate& candidate) {
-    const bool is_late = kErrorMargin * candidate.run_time > latest_run_time;
+    const bool is_late = IsLate(candidate.run_time, latest_run_time);
     // Where the task is late, the delay counts.
     return std::tuple(candidate.is_avoided, is_late,
                       is_late ? candidate.run_time : Duration{},
--- a/Libraries/LibSchedule/placement_choice.h
+++ b/Libraries/LibSchedule/placement_choice.h
@@ -24,6 +24,22 @@
   bool operator==(const PlacementCandidate&) const = default;
 };
 
+// Where a task could run once a run there has ended.
+struct BusyPlace {
+  Duration free_after{};
+  Duration run_time{};  // predicted for the task there
+};
+
+// Whether a task counts as late that runs for `run_time` from now.
+bool IsLate(Duration run_time, Duration latest_run_time);
+
+// Whether a task that would be late on the best free worker, where it takes
+// `run_time`, ends sooner and in time at a busy one. It is not kept waiting to
+// be late elsewhere.
+bool EndsSoonerByWaiting(const std::vector<BusyPlace>& places,
+                         Duration run_time,
+                         Duration latest_run_time);
+
 // Returns the index of the best candidate, or nothing if there is none.
 // `latest_run_time` is the longest one that meets the job's objective.
 std::optional<std::size_t> ChooseCandidate(
--- a/Tests/LibSchedule/placement_choice_test.cc
+++ b/Tests/LibSchedule/placement_choice_test.cc
@@ -48,6 +48,18 @@
             milliseconds(200)) == 1);
 }
 
+TEST(PlacementChoice, task_waits_only_to_end_in_time_and_sooner) {
+  const auto ends_sooner = [](int free_after, int latest) {
+    return EndsSoonerByWaiting({{.free_after = milliseconds(free_after),
+                                 .run_time = milliseconds(100)}},
+                               milliseconds(230), milliseconds(latest));
+  };
+  CHECK(ends_sooner(50, 200));
+  CHECK(!ends_sooner(110, 200));  // late there too
+  CHECK(!ends_sooner(140, 300));  // no sooner
+  CHECK(!EndsSoonerByWaiting({}, milliseconds(230), milliseconds(200)));
+}
+
 TEST(PlacementChoice, avoided_worker_comes_after_late_ones) {
   CHECK(ChooseCandidate({{.run_time = milliseconds(100), .is_avoided = true},
                          {.run_time = milliseconds(900)}},
