LibLeaseEntry: Show the speed of workers in metrics and logs

Adds the least and greatest factor of the workers owned, tasks started where they are predicted to end late, and stragglers by kind; task_started and worker_excluded carry factor_percent.

Test: LibLeaseTests, LibScheduleTests, LibCoreTests pass. No test reads the new metrics or fields.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -116,16 +116,18 @@
   kHome,
   kVia,
   kReason,
+  kFactorPercent,  // run time of a worker relative to a reference worker
 };
 
-inline constexpr EnumNames<LogField, 28> kLogFieldNames{
-    {"job",       "task",           "run",         "queue",
-     "worker",    "shard",          "peer",        "version",
-     "token",     "cause",          "outcome",     "status",
-     "age_ms",    "elapsed_ms",     "expected_ms", "left_ms",
-     "waited_ms", "retry_after_ms", "room",        "size",
-     "tasks",     "queued",         "phase",       "strikes",
-     "count",     "home",           "via",         "reason"}};
+inline constexpr EnumNames<LogField, 29> kLogFieldNames{
+    {"job",           "task",           "run",         "queue",
+     "worker",        "shard",          "peer",        "version",
+     "token",         "cause",          "outcome",     "status",
+     "age_ms",        "elapsed_ms",     "expected_ms", "left_ms",
+     "waited_ms",     "retry_after_ms", "room",        "size",
+     "tasks",         "queued",         "phase",       "strikes",
+     "count",         "home",           "via",         "reason",
+     "factor_percent"}};
 
 // kPerRequest lines are limited by the budget. kState lines, about the state of
 // the whole process, are few and are dropped only if the buffer is full.
--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -4,12 +4,23 @@
 #include <array>
 #include <cstdint>
 
+#include "LibCore/enum_names.h"
 #include "LibLease/duration_histogram.h"
 #include "LibLease/worker_report.h"
 #include "LibSchedule/job.h"
 
 namespace mustardbank {
 
+// Why a run was stopped as a straggler.
+enum class StragglerKind {
+  kStalled,       // no progress
+  kFaultyWorker,  // far slower than its siblings
+  kUnexplained,   // far slower than expected; the job has no other run
+};
+
+inline constexpr EnumNames<StragglerKind, 3> kStragglerKindNames{
+    {"stalled", "faulty_worker", "unexplained"}};
+
 struct LeaseCounters {
   std::array<std::uint64_t, kJobOutcomeNames.names.size()>
       jobs{};  // by outcome
@@ -23,7 +34,9 @@
   std::uint64_t stops = 0;
   std::uint64_t runs_vanished = 0;  // reported neither as running nor as ended
   std::uint64_t stragglers = 0;
-  std::uint64_t exclusions = 0;  // of workers that failed tasks
+  std::array<std::uint64_t, kStragglerKindNames.names.size()> straggler_kinds{};
+  std::uint64_t late_starts = 0;  // of tasks, predicted to end too late
+  std::uint64_t exclusions = 0;   // of workers that failed tasks
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -157,6 +157,8 @@
   bool StartWaiting(Job& job, Time now);
   void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
+  // Of the worker's speed, for the log.
+  std::int64_t FactorPercent(const LeasedWorker& worker) const;
   // Whether the task would be late on `here`, the best worker that is free, and
   // end in time and sooner on a faster one that is busy.
   bool IsWorthWaiting(const Job& job,
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -1,5 +1,6 @@
 // Jobs of LeaseDispatcher: admission, queueing, task starts and results.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "LibLease/lease_dispatcher.h"
@@ -289,6 +290,10 @@
   return EndsSoonerByWaiting(places, run_time, latest);
 }
 
+std::int64_t LeaseDispatcher::FactorPercent(const LeasedWorker& worker) const {
+  return std::lround(100 * speeds_.SpeedOf(worker.entry.id).factor());
+}
+
 Duration LeaseDispatcher::LatestRunTime(const Job& job,
                                         std::size_t group,
                                         Time now) {
@@ -322,7 +327,14 @@
       .Add(LogField::kToken, worker.fencing_token)
       .Add(LogField::kRoom, worker.FreeCapacity().millicores)
       .Add(LogField::kSize, group.each.millicores)
-      .Add(LogField::kAgeMs, now - worker.answered_at);
+      .Add(LogField::kAgeMs, now - worker.answered_at)
+      .Add(LogField::kFactorPercent, FactorPercent(worker));
+  const double factor = speeds_.SpeedOf(worker.entry.id).factor();
+  if (IsLate(FromMilliseconds(factor *
+                              ToMilliseconds(LongestRun(
+                                  job.run_times[task.group], group.count))),
+             LatestRunTime(job, task.group, now)))
+    ++counters_.late_starts;
   StartCommand command{.target = TargetOf(worker),
                        .run = run,
                        .payload = job.payload,
@@ -338,7 +350,7 @@
                           .expected = FromMilliseconds(
                               ToMilliseconds(std::max(job.run_times[task.group],
                                                       task.projected)) *
-                              speeds_.SpeedOf(worker.entry.id).factor()),
+                              factor),
                           .progressed = now});
   actions_.emplace_back(std::move(command));
   // Sends a renewal unless one is already waiting at the worker: the waiting
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -294,7 +294,12 @@
                            speeds_.SpeedOf(worker.entry.id).factor());
     // Only siblings that run as expected show that the worker is at fault, and
     // not a long job.
-    if (is_stalled || RatioOfSiblings(run, now))
+    StragglerKind kind = StragglerKind::kStalled;
+    if (!is_stalled)
+      kind = RatioOfSiblings(run, now) ? StragglerKind::kFaultyWorker
+                                       : StragglerKind::kUnexplained;
+    ++counters_.straggler_kinds[static_cast<std::size_t>(kind)];
+    if (kind != StragglerKind::kUnexplained)
       ExcludeWorker(worker, now);
     StopRun(worker, run, now);
   }
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -302,7 +302,8 @@
   worker.outcome_health.DidFail(now);
   log_.Write(LogEvent::kWorkerExcluded, now)
       .Add(LogField::kWorker, worker.entry.id)
-      .Add(LogField::kStrikes, worker.outcome_health.strikes());
+      .Add(LogField::kStrikes, worker.outcome_health.strikes())
+      .Add(LogField::kFactorPercent, FactorPercent(worker));
 }
 
 void LeaseDispatcher::DidStart(const StartCommand& command,
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace mustardbank {
 
 namespace {
@@ -71,6 +73,17 @@
   const OwnerLoad load = dispatcher.Load(now);
   writer.Gauge("workers_owned", "Workers that this VM orders",
                static_cast<double>(dispatcher.workers().size()));
+  double least = 0;
+  double greatest = 0;
+  for (const auto& [id, worker] : dispatcher.workers()) {
+    const double factor = dispatcher.speeds().SpeedOf(id).factor();
+    least = least == 0 ? factor : std::min(least, factor);
+    greatest = std::max(greatest, factor);
+  }
+  writer.Gauge("worker_factor_least",
+               "Least run time factor of the workers owned", least);
+  writer.Gauge("worker_factor_greatest",
+               "Greatest run time factor of the workers owned", greatest);
   writer.Gauge("room_millicores", "Free room of the workers owned",
                static_cast<double>(load.free_millicores));
   writer.Gauge("jobs_queued", "Jobs with tasks that wait",
@@ -120,6 +133,10 @@
   writer.Count("stops", "Stop orders sent", counters.stops);
   writer.Count("stragglers", "Runs stopped for lack of progress",
                counters.stragglers);
+  writer.CountEach("stragglers_by_kind", "Runs stopped as stragglers", "kind",
+                   kStragglerKindNames, counters.straggler_kinds);
+  writer.Count("late_starts", "Tasks started that are predicted to end late",
+               counters.late_starts);
   writer.Count("worker_exclusions", "Workers left out after a failure",
                counters.exclusions);
   writer.Count("requests", "Requests of callers", jobs.counters().requests);
