--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -129,9 +129,10 @@
   kHome,
   kVia,
   kReason,
+  kFactorPercent,  // run time of a worker relative to a reference worker
 };
 
-inline constexpr EnumNames<LogField, 29> kLogFieldNames{
+inline constexpr EnumNames<LogField, 30> kLogFieldNames{
     {"job",         "task",        "run",       "queue",          "worker",
      "shard",       "data_center", "peer",      "version",        "token",
      "cause",       "outcome",     "status",    "age_ms",         "elapsed_ms",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -101,6 +101,10 @@
   const LeaseCounters& counters() const { return counters_; }
   const WorkerSpeeds& speeds() const { return speeds_; }
 
+  // What the runs so far have shown about classes of workers.
+  LearnedClasses LearnedWorkers() const { return speeds_.Learned(); }
+  void Recall(const LearnedClasses& classes) { speeds_.Recall(classes); }
+
   // What the jobs so far have shown about their queues.
   LearnedQueues Learned() const;
   // Takes over what another process learned about queues of which this one
@@ -172,6 +176,14 @@
   bool StartWaiting(Job& job, Time now);
   void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
+  // Of the worker's speed, for the log.
+  std::int64_t FactorPercent(const LeasedWorker& worker) const;
+  // Whether the task would be late on `here`, the best worker that is free, and
+  // end in time and sooner on a faster one that is busy.
+  bool IsWorthWaiting(const Job& job,
+                      const Task& task,
+                      const LeasedWorker& here,
+                      Time now) const;
   // The longest run time of a task of the group that meets the objective.
   static Duration LatestRunTime(const Job& job, std::size_t group, Time now);
   void StartTask(Job& job, std::size_t index, LeasedWorker& worker, Time now);
@@ -222,6 +234,8 @@
   double BestFactor(const LeasedWorker& except,
                     const LeasedRun& run,
                     Time now) const;
+  // Whether the job has runs on other workers.
+  bool HasOtherRuns(const LeasedWorker& except, const LeasedRun& run) const;
   // Whether an earlier run of the task was stopped as a straggler.
   bool WasMoved(const LeasedRun& run) const;
   void DidSucceed(LeasedWorker& worker, const LeasedRun& run, Time now);
