LibSchedule: Limit bursts of a queue to what other queues leave

A burst of a queue of long tasks took the capacity of all queues, and the queues without a burst bore the loss.

QueueShares learns the steady demand of each queue and keeps the unused part of other queues' shares free, as far as they could ask for it before the tasks of a burst job end. Such a job waits for as long as it can still be in time, and is refused with the cause over_share otherwise. The learned rows carry the demand relative to the owner's capacity.

The load tests have no bounds yet.

--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "LibLease/duration_histogram.h"
 #include "LibLease/worker_report.h"
@@ -24,6 +26,7 @@
   std::uint64_t runs_vanished = 0;  // reported neither as running nor as ended
   std::uint64_t stragglers = 0;
   std::uint64_t exclusions = 0;  // of workers that failed tasks
+  std::map<std::string, std::uint64_t> over_share;  // refusals, by queue
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -26,6 +26,7 @@
 #include "LibSchedule/duration_estimator.h"
 #include "LibSchedule/learned_queues.h"
 #include "LibSchedule/owner_load.h"
+#include "LibSchedule/queue_shares.h"
 
 namespace mustardbank {
 
@@ -123,6 +124,7 @@
     std::size_t done = 0;
     bool was_started = false;  // a start command was issued
     bool is_late = false;      // could not meet its objective on arrival
+    bool is_held = false;  // waits as it must leave capacity to other queues
   };
 
   // Late jobs come after all others.
@@ -137,6 +139,14 @@
   // Queue.
   void Estimate(Job& job, Time now);
   std::optional<JobResult> CheckAdmission(const Job& job, Time now);
+  std::optional<JobResult> CheckShare(const Job& job,
+                                      AdmissionLoad load,
+                                      Time latest_end,
+                                      Time now);
+  bool MustLeaveCapacity(const Job& job, const QueueUses& running) const;
+  // Millicores that run, by queue. Runs whose job has ended have none.
+  QueueUses RunningByQueue() const;
+  double UsableCapacity() const;
   static Time LatestStartOf(const Job& job);
   bool FitsNow(const Job& job, Time now) const;
   bool CanEverFit(const Job& job) const;
@@ -193,6 +203,7 @@
   std::set<QueueKey> queue_;  // jobs with waiting tasks
   DurationEstimator durations_;
   CallerTimeouts caller_timeouts_;
+  QueueShares shares_;
   AnswerTimeout answer_timeout_;  // of starts and stops
   std::vector<LeaseAction> actions_;
   std::vector<std::string> fenced_;
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -22,6 +22,18 @@
 // them are tried again within this time.
 constexpr Duration kNoWorkerRetryAfter = std::chrono::seconds(1);
 
+// Whether the worker's capacity counts for admission.
+bool IsUsable(const LeasedWorker& worker) {
+  return worker.phase == WorkerPhase::kHeld && !worker.entry.leaving &&
+         !worker.releasing && worker.outcome_health.strikes() <= 1;
+}
+
+// A run past its expected time still needs some more.
+Duration ExpectedRemainder(const LeasedRun& run, Time now) {
+  return std::max(run.expected / kOverdueRunDivisor,
+                  run.expected - (now - run.started));
+}
+
 }  // namespace
 
 void LeaseDispatcher::Submit(JobRequest request, Time now) {
@@ -52,6 +64,7 @@
   job.waiting = job.tasks.size();
   BlockTasksThatRun(job);
   Estimate(job, now);
+  shares_.DidArrive(job.request, job.estimate, UsableCapacity(), now);
   const std::optional<JobResult> refusal = CheckAdmission(job, now);
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
   if (refusal) {
@@ -119,7 +132,7 @@
   }
   // Expected run times may be far off: while there is room, the job is tried.
   if (end <= latest || load.fits_now)
-    return std::nullopt;
+    return CheckShare(job, load, latest, now);
   const Duration overrun =
       end == Time::max() ? kNoWorkerRetryAfter : end - latest;
   return JobResult{
@@ -128,6 +141,63 @@
       .retry_after = std::clamp(overrun, kLeastRetryAfter, kMostRetryAfter)};
 }
 
+// A job beyond the share of its queue starts once it leaves enough capacity to
+// the other queues. It is refused if that would be too late.
+std::optional<JobResult> LeaseDispatcher::CheckShare(const Job& job,
+                                                     AdmissionLoad load,
+                                                     Time latest_end,
+                                                     Time now) {
+  QueueUses uses = RunningByQueue();
+  for (const QueueKey& key : queue_) {
+    const Job& waiting = jobs_.at(key.job);
+    uses[waiting.request.policy.name] +=
+        waiting.estimate.peak_demand * static_cast<double>(waiting.waiting) /
+        static_cast<double>(waiting.tasks.size());
+  }
+  const ShareDecision decision =
+      shares_.Decide(job.request, job.estimate, load.capacity, uses);
+  if (decision.is_allowed)
+    return std::nullopt;
+  load.fits_now = false;
+  load.queued_demand += decision.reserved;
+  const Time end = PredictEnd(load, job.estimate, now);
+  if (end <= latest_end)
+    return std::nullopt;
+  ++counters_.over_share[job.request.policy.name];
+  return JobResult{.outcome = JobOutcome::kRefused,
+                   .cause = JobCause::kOverShare,
+                   .retry_after = std::clamp(end - latest_end, kLeastRetryAfter,
+                                             kMostRetryAfter)};
+}
+
+bool LeaseDispatcher::MustLeaveCapacity(const Job& job,
+                                        const QueueUses& running) const {
+  return !job.was_started && !job.is_late &&
+         !shares_.Decide(job.request, job.estimate, UsableCapacity(), running)
+              .is_allowed;
+}
+
+QueueUses LeaseDispatcher::RunningByQueue() const {
+  QueueUses uses;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker.runs) {
+      const auto job = jobs_.find(run.job);
+      uses[job == jobs_.end() ? "" : job->second.request.policy.name] +=
+          static_cast<double>(run.size.millicores);
+    }
+  }
+  return uses;
+}
+
+double LeaseDispatcher::UsableCapacity() const {
+  double capacity = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (IsUsable(worker))
+      capacity += static_cast<double>(worker.entry.capacity.millicores);
+  }
+  return capacity;
+}
+
 bool LeaseDispatcher::CanEverFit(const Job& job) const {
   return std::all_of(
       job.request.groups.begin(), job.request.groups.end(),
@@ -143,7 +213,9 @@
 }
 
 bool LeaseDispatcher::FitsNow(const Job& job, Time now) const {
-  if (!queue_.empty())
+  if (std::any_of(queue_.begin(), queue_.end(), [&](const QueueKey& key) {
+        return !jobs_.at(key.job).is_held;
+      }))
     return false;
   // Only the first group is checked: it starts now, and most jobs have groups
   // of similar size.
@@ -163,16 +235,13 @@
 AdmissionLoad LeaseDispatcher::LoadAhead(const Job& job, Time now) const {
   AdmissionLoad load{.fits_now = FitsNow(job, now)};
   for (const auto& [id, worker] : workers_) {
-    if (worker.phase != WorkerPhase::kHeld || worker.entry.leaving ||
-        worker.releasing || worker.outcome_health.strikes() > 1)
+    if (!IsUsable(worker))
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
     load.free += static_cast<double>(worker.FreeCapacity().millicores);
     for (const auto& [task, run] : worker.runs) {
-      // A run past its expected time still needs some more.
-      const Duration left = std::max(run.expected / kOverdueRunDivisor,
-                                     run.expected - (now - run.started));
-      load.runs.push_back({left, static_cast<double>(run.size.millicores)});
+      load.runs.push_back({ExpectedRemainder(run, now),
+                           static_cast<double>(run.size.millicores)});
     }
   }
   for (const QueueKey& key : queue_) {
@@ -212,8 +281,19 @@
 void LeaseDispatcher::Schedule(Time now) {
   schedule_due_ = false;
   std::vector<QueueKey> emptied;
+  std::optional<QueueUses> running;  // empty after a change
   for (const QueueKey& key : queue_) {
-    if (!StartWaiting(jobs_.at(key.job), now))
+    Job& job = jobs_.at(key.job);
+    if (!running)
+      running = RunningByQueue();
+    job.is_held = MustLeaveCapacity(job, *running);
+    if (job.is_held)
+      continue;
+    const std::size_t waiting = job.waiting;
+    const bool is_waiting = StartWaiting(job, now);
+    if (job.waiting < waiting)
+      running.reset();
+    if (!is_waiting)
       emptied.push_back(key);
   }
   for (const QueueKey& key : emptied)
@@ -305,12 +385,16 @@
             .retry_after = kLeastRetryAfter},
            now);
   }
-  for (const std::string& id : overdue)
+  for (const std::string& id : overdue) {
+    const Job& job = jobs_.at(id);
+    if (job.is_held)
+      ++counters_.over_share[job.request.policy.name];
     Finish(id,
            {.outcome = JobOutcome::kRefused,
             .cause = JobCause::kWaitedTooLong,
             .retry_after = kLeastRetryAfter},
            now);
+  }
 }
 
 void LeaseDispatcher::FinishIfDone(Job& job, Time now) {
@@ -408,6 +492,8 @@
     queues[queue].run_times = run_times;
   for (const auto& [queue, timeouts] : caller_timeouts_.statistics())
     queues[queue].timeouts = timeouts;
+  for (const auto& [queue, demand] : shares_.Learned())
+    queues[queue].demand = demand;
   return queues;
 }
 
@@ -415,6 +501,7 @@
   for (const auto& [queue, statistics] : queues) {
     durations_.Recall(queue, statistics.run_times);
     caller_timeouts_.Recall(queue, statistics.timeouts);
+    shares_.Recall(queue, statistics.demand);
   }
 }
 
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -103,6 +103,9 @@
                    kJobOutcomeNames, counters.jobs);
   writer.CountEach("job_causes", "Jobs ended by this owner", "cause",
                    kJobCauseNames, counters.causes);
+  for (const auto& [queue, count] : counters.over_share)
+    writer.Count("over_share", "Jobs refused beyond the share of their queue",
+                 count, {{"queue", queue}});
   writer.CountEach("starts", "Start orders by their answer", "answer",
                    kCommandAnswerNames, counters.starts);
   writer.CountEach("holds", "Holds by their answer", "answer",
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -17,7 +17,7 @@
 // Of one row of learned queues. The platform takes 64 KiB, in base64.
 constexpr std::size_t kMostLearnedBytes = 45'000;
 // What a queue takes in that row beside its name, at most.
-constexpr std::size_t kLearnedQueueBytes = 160;
+constexpr std::size_t kLearnedQueueBytes = 220;
 
 // Decodes a JSON object with `read`, which throws if a field is missing or of
 // another type. Empty if that happens or `text` is not an object.
@@ -360,7 +360,7 @@
     bytes += queue->first.size() + kLearnedQueueBytes;
     if (bytes > kMostLearnedBytes)
       break;
-    const auto& [run_times, timeouts] = queue->second;
+    const auto& [run_times, timeouts, demand] = queue->second;
     object[queue->first] = {
         {"run_time",
          {run_times.samples, Rounded(run_times.log_run_time),
@@ -368,7 +368,11 @@
         {"timeout",
          {timeouts.samples, Rounded(timeouts.mean_timeout),
           Rounded(timeouts.mean_expected), Rounded(timeouts.variance_expected),
-          Rounded(timeouts.covariance), Rounded(timeouts.deviation)}}};
+          Rounded(timeouts.covariance), Rounded(timeouts.deviation)}},
+        // A load of 0.0004 is rounded to 0; so small a queue needs no share.
+        {"demand",
+         {Rounded(demand.load), Rounded(demand.peak_millicores),
+          Rounded(demand.run_ms), Rounded(demand.seconds)}}};
   }
   return {.table = kLearnedTable,
           .key = data_center,
@@ -394,6 +398,14 @@
                        .covariance = number(timeout, 4),
                        .deviation = number(timeout, 5),
                        .samples = timeout.at(0).to_number<std::uint32_t>()}};
+      const json::value* demand = value.as_object().if_contains("demand");
+      if (!demand)
+        continue;  // written by a build without shares
+      const json::array& numbers = demand->as_array();
+      queues[name].demand = {.load = number(numbers, 0),
+                             .peak_millicores = number(numbers, 1),
+                             .run_ms = number(numbers, 2),
+                             .seconds = number(numbers, 3)};
     }
     return queues;
   });
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -78,6 +78,9 @@
       return "refused: no VM that owns workers could be reached";
     case JobCause::kLeaving:
       return "refused: the VM was about to stop";
+    case JobCause::kOverShare:
+      return "refused on arrival: a burst of its queue would have taken the "
+             "shares of other queues";
   }
   return "unknown";
 }
--- a/Libraries/LibSchedule/job.h
+++ b/Libraries/LibSchedule/job.h
@@ -88,13 +88,14 @@
   kOwnerSilent,  // the VM that ran the job stopped answering
   kNoOwner,      // no VM that owns workers can be reached
   kLeaving,      // this VM stops before the job would end
+  kOverShare,    // a burst of its queue must leave other queues their shares
 };
 
-inline constexpr EnumNames<JobCause, 18> kJobCauseNames{
+inline constexpr EnumNames<JobCause, 19> kJobCauseNames{
     {"none", "task_failed", "runs_lost", "no_room", "waited_too_long",
      "never_fits", "not_owner", "handed_over", "deadline", "cancelled",
      "ownership_lost", "home_silent", "unsupported", "no_configuration",
-     "no_queue", "owner_silent", "no_owner", "leaving"}};
+     "no_queue", "owner_silent", "no_owner", "leaving", "over_share"}};
 
 struct JobResult {
   JobOutcome outcome = JobOutcome::kRefused;
--- a/Libraries/LibSchedule/learned_queues.h
+++ b/Libraries/LibSchedule/learned_queues.h
@@ -8,12 +8,14 @@
 
 #include "LibSchedule/caller_timeouts.h"
 #include "LibSchedule/duration_estimator.h"
+#include "LibSchedule/queue_shares.h"
 
 namespace mustardbank {
 
 struct QueueStatistics {
   RunTimeStatistics run_times;
   TimeoutStatistics timeouts;
+  QueueDemand demand;  // all zero in rows of builds without shares
 
   bool operator==(const QueueStatistics&) const = default;
 };
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -22,6 +22,8 @@
   double run_ms = 0;  // mean; lognormal over jobs
   double tasks = 0;   // mean
   std::uint32_t most_tasks = 0;
+  std::uint32_t priority = 0;
+  double millicores = 27'000;  // mean
 };
 
 // No VM is up for some time, and no job is taken. Callers send their jobs again
@@ -113,6 +115,7 @@
     Duration objective{};
     std::int64_t run_ms = 0;
     std::int64_t millicores = 0;
+    std::uint32_t priority = 0;
     std::uint32_t tasks = 0;
   };
 
@@ -137,7 +140,8 @@
         .objective = FromMilliseconds(1.6 * run_ms + 60),
         .run_ms = static_cast<std::int64_t>(run_ms),
         .millicores = static_cast<std::int64_t>(
-            std::min(41'000.0, Lognormal(27'000, 0.2))),
+            std::min(41.0 / 27 * kind.millicores, Lognormal(kind.millicores, 0.2))),
+        .priority = kind.priority,
         .tasks = std::clamp<std::uint32_t>(
             static_cast<std::uint32_t>(std::lround(Lognormal(kind.tasks, 0.4))),
             1, kind.most_tasks)};
@@ -153,6 +157,7 @@
                               .longest_wait = load_job.first_sent +
                                               load_job.timeout - fixture_.now});
     job.policy.name = load_job.kind.substr(0, load_job.kind.find(kReturned));
+    job.policy.priority = load_job.priority;
     const bool has_capacity = Places(load_job.millicores) >= load_job.tasks &&
                               fixture_.dispatcher.queued_jobs() == 0;
     jobs_[id] = load_job;
