--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -94,7 +94,7 @@
   LearnedQueues Learned() const;
   // Takes over what another process learned about queues of which this one
   // knows less.
-  void Recall(const LearnedQueues& queues);
+  void Recall(const LearnedQueues& queues, Time now);
 
  private:
   enum class TaskState { kWaiting, kLive, kDone };
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -497,11 +497,14 @@
   return queues;
 }
 
-void LeaseDispatcher::Recall(const LearnedQueues& queues) {
+void LeaseDispatcher::Recall(const LearnedQueues& queues, Time now) {
   for (const auto& [queue, statistics] : queues) {
     durations_.Recall(queue, statistics.run_times);
     caller_timeouts_.Recall(queue, statistics.timeouts);
-    shares_.Recall(queue, statistics.demand);
+    if (!shares_.Recall(queue, statistics.demand))
+      log_.Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
+          .Add(LogField::kQueue, queue)
+          .Add(LogField::kReason, "demand");
   }
 }
 
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -379,6 +379,26 @@
           .value = json::serialize(object)};
 }
 
+namespace {
+
+// An unreadable demand leaves the other statistics of the row in use.
+QueueDemand ReadDemand(const json::value& value) {
+  const json::array* numbers = value.if_array();
+  if (!numbers || numbers->size() < 4 ||
+      !std::all_of(numbers->begin(), numbers->end(),
+                   [](const json::value& v) { return v.is_number(); }))
+    return QueueDemand::Unreadable();
+  const auto number = [&](std::size_t index) {
+    return numbers->at(index).to_number<double>();
+  };
+  return {.load = number(0),
+          .peak_millicores = number(1),
+          .run_ms = number(2),
+          .seconds = number(3)};
+}
+
+}  // namespace
+
 std::optional<LearnedQueues> DecodeLearnedQueues(const StoreRow& row) {
   return Decode<LearnedQueues>(row.value, [](const json::object& object) {
     LearnedQueues queues;
@@ -398,14 +418,9 @@
                        .covariance = number(timeout, 4),
                        .deviation = number(timeout, 5),
                        .samples = timeout.at(0).to_number<std::uint32_t>()}};
-      const json::value* demand = value.as_object().if_contains("demand");
-      if (!demand)
-        continue;  // written by a build without shares
-      const json::array& numbers = demand->as_array();
-      queues[name].demand = {.load = number(numbers, 0),
-                             .peak_millicores = number(numbers, 1),
-                             .run_ms = number(numbers, 2),
-                             .seconds = number(numbers, 3)};
+      // Builds without shares write no demand.
+      if (const json::value* demand = value.as_object().if_contains("demand"))
+        queues[name].demand = ReadDemand(*demand);
     }
     return queues;
   });
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -211,7 +211,7 @@
     }
     for (const StoreRow& row : page->rows) {
       if (const auto queues = DecodeLearnedQueues(row)) {
-        control_.dispatcher().Recall(*queues);
+        control_.dispatcher().Recall(*queues, BootClock::now());
         continue;
       }
       control_.log()
--- a/Libraries/LibSchedule/queue_shares.cc
+++ b/Libraries/LibSchedule/queue_shares.cc
@@ -16,7 +16,8 @@
 // Without any arrival for longer, jobs are kept away by an outage and show
 // nothing about the demand.
 constexpr double kLongestGapSeconds = 1;
-constexpr double kPeakSmoothing = 1.0 / 32;
+// Jobs that the means of width and run time cover.
+constexpr std::uint32_t kMeanJobs = 32;
 // Part of its proportional share that a less urgent queue keeps when the steady
 // demand of all queues exceeds the capacity.
 constexpr double kFloorShare = 0.5;
@@ -26,9 +27,9 @@
 constexpr double kBurstDeviations = 1;
 // Bounds memory if the configuration is renamed again and again.
 constexpr std::size_t kMostQueues = 256;
-// Plausible demand: homes that try three owners each send at most some
-// multiples of the capacity.
-constexpr double kMostLoad = 16;
+// A wrong row with the highest plausible load is forgotten within 60 s, and no
+// queue can be served more than the whole capacity.
+constexpr double kMostLoad = 1;
 constexpr double kMostPeakMillicores = 1e9;
 constexpr double kMostRunMs = 86'400'000;
 constexpr double kMostSeconds = 1e9;
@@ -44,22 +45,35 @@
 };
 
 // Divides `usable` if it is less than the steady demand: each queue keeps a
-// part of its proportional share, and the most urgent ones the rest.
+// part of its proportional share, and the most urgent ones the rest. Equally
+// urgent queues divide it in proportion to their demand.
 void ScaleDown(std::vector<Claim>& claims, double usable, double total) {
   std::stable_sort(
       claims.begin(), claims.end(),
       [](const Claim& a, const Claim& b) { return a.priority < b.priority; });
   double rest = usable * (1 - kFloorShare);
-  for (Claim& claim : claims) {
-    const double floor = kFloorShare * claim.share * usable / total;
-    const double more = std::min(rest, claim.share - floor);
-    rest -= more;
-    claim.share = floor + more;
+  const double floor_part = kFloorShare * usable / total;
+  for (auto begin = claims.begin(); begin != claims.end();) {
+    const auto end = std::find_if(begin, claims.end(), [&](const Claim& claim) {
+      return claim.priority != begin->priority;
+    });
+    double missing = 0;
+    for (auto claim = begin; claim != end; ++claim)
+      missing += claim->share * (1 - floor_part);
+    const double granted = std::min(rest, missing);
+    rest -= granted;
+    for (; begin != end; ++begin)
+      begin->share *=
+          floor_part + (1 - floor_part) * (missing > 0 ? granted / missing : 0);
   }
 }
 
 }  // namespace
 
+QueueDemand QueueDemand::Unreadable() {
+  return {.load = -1};
+}
+
 bool QueueDemand::IsPlausible() const {
   return IsWithin(load, kMostLoad) &&
          IsWithin(peak_millicores, kMostPeakMillicores) &&
@@ -95,7 +109,6 @@
     return;
   Advance(now);
   Queue& queue = queues_[job.policy.name];
-  queue.has_arrived = true;
   queue.priority = job.policy.priority;
   const double run_ms = ToMilliseconds(estimate.longest_chain);
   QueueDemand& demand = queue.demand;
@@ -104,7 +117,10 @@
   if (job.age.count() == 0)
     demand.load = std::min(
         kMostLoad, demand.load + estimate.work / 1000 / capacity / window);
-  const double weight = demand.run_ms > 0 ? kPeakSmoothing : 1;
+  // The first jobs replace recalled means: at a job a second, a wrong row would
+  // last for minutes.
+  queue.jobs = std::min(queue.jobs + 1, kMeanJobs);
+  const double weight = 1.0 / queue.jobs;
   demand.peak_millicores +=
       weight * (estimate.peak_demand - demand.peak_millicores);
   demand.run_ms += weight * (run_ms - demand.run_ms);
@@ -115,13 +131,13 @@
 
 QueueUses QueueShares::Shares(double capacity) const {
   const double usable = kPackedShare * capacity;
-  const auto arrived = static_cast<double>(std::count_if(
-      queues_.begin(), queues_.end(),
-      [](const auto& queue) { return queue.second.has_arrived; }));
+  const auto arrived = static_cast<double>(
+      std::count_if(queues_.begin(), queues_.end(),
+                    [](const auto& queue) { return queue.second.jobs > 0; }));
   std::vector<Claim> claims;
   double total = 0;
   for (const auto& [name, queue] : queues_) {
-    if (!queue.has_arrived)
+    if (queue.jobs == 0)
       continue;
     const double prior = kPriorSeconds / (kPriorSeconds + queue.demand.seconds);
     claims.push_back({&name, queue.priority,
@@ -152,6 +168,9 @@
   const double usual_peak = queues_.at(name).demand.peak_millicores;
   const double usual_most =
       share->second + kBurstDeviations * std::sqrt(share->second * usual_peak);
+  // A single job is no burst, however little the queue usually asks for.
+  if (use_of(name) <= 0)
+    return {};
   // Rounds to whole jobs. A wide job counts as one of usual width, or it would
   // exceed the share for ever.
   if (use_of(name) + std::min(estimate.peak_demand, usual_peak) / 2 <=
--- a/Libraries/LibSchedule/queue_shares.h
+++ b/Libraries/LibSchedule/queue_shares.h
@@ -25,6 +25,9 @@
   double run_ms = 0;           // of a job on average
   double seconds = 0;          // for how long it was learned
 
+  // What a row with values of other types contains; it is not plausible.
+  static QueueDemand Unreadable();
+
   // Whether the numbers can be the result of observations.
   bool IsPlausible() const;
 
@@ -65,9 +68,11 @@
  private:
   struct Queue {
     QueueDemand demand;
-    // From the last job. A recalled queue has no share before its first one,
-    // so that a wrong row reserves nothing for queues that do not exist.
-    bool has_arrived = false;
+    // Arrived here, up to a limit. A recalled queue has no share before its
+    // first job, so that a wrong row reserves nothing for queues that do not
+    // exist.
+    std::uint32_t jobs = 0;
+    // From the last job.
     std::uint32_t priority = 0;
     double slack_ms = 0;  // how long a job can wait and be in time
   };
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -393,7 +393,8 @@
          .timeouts = {.mean_timeout = 2000,
                       .mean_expected = 100,
                       .deviation = 50,
-                      .samples = 500}}}});
+                      .samples = 500}}}},
+      fixture.now);
   fixture.Submit(MakeJob("running", fixture.now));
   CHECK_EQUAL(1, fixture.starts.size());
   const RunId running = fixture.starts.back().run;
@@ -423,7 +424,8 @@
                               {.timeouts = {.mean_timeout = 2000,
                                             .mean_expected = 100,
                                             .deviation = 50,
-                                            .samples = 500}}}});
+                                            .samples = 500}}}},
+                            fixture.now);
   const auto submit = [&](const char* id) {
     fixture.Submit(
         MakeJob(id, fixture.now, {.longest_wait = milliseconds(700)}));
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -139,8 +139,8 @@
         .declared = FromMilliseconds(Lognormal(run_ms, 0.4)),
         .objective = FromMilliseconds(1.6 * run_ms + 60),
         .run_ms = static_cast<std::int64_t>(run_ms),
-        .millicores = static_cast<std::int64_t>(
-            std::min(41.0 / 27 * kind.millicores, Lognormal(kind.millicores, 0.2))),
+        .millicores = static_cast<std::int64_t>(std::min(
+            41.0 / 27 * kind.millicores, Lognormal(kind.millicores, 0.2))),
         .priority = kind.priority,
         .tasks = std::clamp<std::uint32_t>(
             static_cast<std::uint32_t>(std::lround(Lognormal(kind.tasks, 0.4))),
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -20,7 +20,11 @@
                      .variance_expected = 400,
                      .covariance = 1600,
                      .deviation = 55.5,
-                     .samples = 120}}}};
+                     .samples = 120},
+        .demand = {.load = 0.125,
+                   .peak_millicores = 216'000,
+                   .run_ms = 61.5,
+                   .seconds = 3600}}}};
   const auto decoded =
       DecodeLearnedQueues(RowOf(EncodeLearnedQueues("llandeilo", queues)));
   CHECK(decoded == queues);
@@ -47,4 +51,19 @@
     CHECK(!DecodeLearnedQueues({.key = "llandeilo", .value = value}));
 }
 
+// Guards against a wrong demand that takes the run times of its row with it.
+TEST(PeerCodec, unreadable_demand_leaves_the_rest_of_the_row) {
+  for (const char* demand : {"3", "{}", "[]", "[0.1,2]", "[0.1,2,3,\"4\"]",
+                             "[null,2,3,4]", "[-1,2,3,4]", "[0.1,2,3,1e300]"}) {
+    const auto queues = DecodeLearnedQueues(
+        {.key = "llandeilo",
+         .value = std::string("{\"sheets\":{\"run_time\":[812,4.1,-0.25],"
+                              "\"timeout\":[1,2,3,4,5,6],\"demand\":") +
+                  demand + "}}"});
+    CHECK(queues.has_value());
+    CHECK_EQUAL(812U, queues->at("sheets").run_times.samples);
+    CHECK(!queues->at("sheets").demand.IsPlausible());
+  }
+}
+
 }  // namespace mustardbank
