--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -22,6 +22,18 @@
 // them are tried again within this time.
 constexpr Duration kNoWorkerRetryAfter = std::chrono::seconds(1);
 
+// Labels of a metric are kept for the life of the process; queues beyond this
+// number share one.
+constexpr std::size_t kMostQueueLabels = 32;
+constexpr const char* kOtherQueues = "other";
+
+void CountOverShare(LeaseCounters& counters, const std::string& queue) {
+  auto& counts = counters.over_share;
+  const bool has_label =
+      counts.contains(queue) || counts.size() < kMostQueueLabels;
+  ++counts[has_label ? queue : kOtherQueues];
+}
+
 // Whether the worker's capacity counts for admission.
 bool IsUsable(const LeasedWorker& worker) {
   return worker.phase == WorkerPhase::kHeld && !worker.entry.leaving &&
@@ -163,7 +175,7 @@
   const Time end = PredictEnd(load, job.estimate, now);
   if (end <= latest_end)
     return std::nullopt;
-  ++counters_.over_share[job.request.policy.name];
+  CountOverShare(counters_, job.request.policy.name);
   return JobResult{.outcome = JobOutcome::kRefused,
                    .cause = JobCause::kOverShare,
                    .retry_after = std::clamp(end - latest_end, kLeastRetryAfter,
@@ -388,7 +400,7 @@
   for (const std::string& id : overdue) {
     const Job& job = jobs_.at(id);
     if (job.is_held)
-      ++counters_.over_share[job.request.policy.name];
+      CountOverShare(counters_, job.request.policy.name);
     Finish(id,
            {.outcome = JobOutcome::kRefused,
             .cause = JobCause::kWaitedTooLong,
