--- a/Libraries/LibConfig/lease_settings.cc
+++ b/Libraries/LibConfig/lease_settings.cc
@@ -56,6 +56,8 @@
   read("drain_ms", settings.drain_ms, kMaxMs);
   read("configuration_ms", settings.configuration_ms, kMaxMs);
   read("log_lines_per_second", settings.log_lines_per_second, 1'000'000);
+  settings.queue_shares =
+      reader.OptionalBool("queue_shares", settings.queue_shares);
   reader.Finish();
   if (!faults.empty())
     return leaf::new_error(ConfigError{std::move(faults)});
--- a/Libraries/LibConfig/lease_settings.h
+++ b/Libraries/LibConfig/lease_settings.h
@@ -28,6 +28,9 @@
   std::uint32_t drain_ms = 2000;
   std::uint32_t configuration_ms = 2000;  // time until a change is in force
   std::uint32_t log_lines_per_second = 400;
+  // Whether a burst of one queue must leave other queues their share of scarce
+  // capacity.
+  bool queue_shares = false;
 
   // Fails with ConfigError, which lists all faults.
   static boost::leaf::result<LeaseSettings> Read(const JsonDocument& document);
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -112,8 +112,8 @@
   // knows less.
   void Recall(const LearnedQueues& queues, Time now);
 
-  // Load tests compare outcomes with and without the shares of queues.
-  void set_limits_queues_for_testing(bool limits_queues) {
+  // Whether a burst of one queue must leave other queues their shares.
+  void set_limits_queues(bool limits_queues) {
     limits_queues_ = limits_queues;
   }
 
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -112,6 +112,7 @@
                   .body = WriteLeaseMetrics(control_, jobs_, commands_, *store_,
                                             BootClock::now())};
             }) {
+    control_.dispatcher().set_limits_queues(settings_.queue_shares);
     control_.SetSinks(
         {.start =
              [this](StartCommand&& command) {
--- a/Tests/LibHttp/http_test.cc
+++ b/Tests/LibHttp/http_test.cc
@@ -249,8 +249,8 @@
   sockaddr_in address{.sin_family = AF_INET,
                       .sin_addr = {.s_addr = htonl(0x7F000001)}};
   socklen_t size = sizeof(address);
-  ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-  ::listen(listener, 1);
+  CHECK_EQUAL(0, ::bind(listener, reinterpret_cast<sockaddr*>(&address), size));
+  CHECK_EQUAL(0, ::listen(listener, 1));
   ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
   std::thread server([listener] {
     const int connection = ::accept(listener, nullptr, nullptr);
@@ -258,13 +258,15 @@
     CHECK(::recv(connection, bytes, sizeof(bytes), 0) > 0);
     ::close(connection);
   });
+  // More than the buffers of the connection hold.
+  constexpr std::size_t kBodyBytes = 32'000'000;
+  std::string body;
+  body.resize(kBodyBytes, 'x');
   const auto result = RunInFiber(thread, [&] {
     return ExchangeOnce(
         thread.io(),
         Endpoint{.ip = 0x7F000001, .port = ntohs(address.sin_port)},
-        HttpRequest{.method = "POST",
-                    .target = "/",
-                    .body = std::string(32'000'000, 'x')},
+        HttpRequest{.method = "POST", .target = "/", .body = std::move(body)},
         kTimeout);
   });
   server.join();
--- a/Tests/LibLease/burst_load_test.cc
+++ b/Tests/LibLease/burst_load_test.cc
@@ -76,7 +76,7 @@
 
 BurstOutcome PlayBurst(const std::string& queue, int seed, bool limits) {
   LoadSimulation simulation(static_cast<unsigned>(seed));
-  simulation.dispatcher().set_limits_queues_for_testing(limits);
+  simulation.dispatcher().set_limits_queues(limits);
   simulation.dispatcher().Recall(Learned(), simulation.now());
   simulation.Run(Mix("", 1), 2);
   simulation.ForgetOutcomes();
--- a/Tests/LibLease/worker_speeds_dispatcher_test.cc
+++ b/Tests/LibLease/worker_speeds_dispatcher_test.cc
@@ -21,11 +21,11 @@
           .spread_within_job = 0.15};
 }
 
-constexpr LoadKind kShortJobs{.name = "queue",
-                              .per_second = 40,
-                              .run_ms = 100,
-                              .tasks = 4,
-                              .most_tasks = 8};
+const LoadKind kShortJobs{.name = "queue",
+                          .per_second = 40,
+                          .run_ms = 100,
+                          .tasks = 4,
+                          .most_tasks = 8};
 
 }  // namespace
 
