--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -113,9 +113,7 @@
   void Recall(const LearnedQueues& queues, Time now);
 
   // Whether a burst of one queue must leave other queues their shares.
-  void set_limits_queues(bool limits_queues) {
-    limits_queues_ = limits_queues;
-  }
+  void set_limits_queues(bool limits_queues) { limits_queues_ = limits_queues; }
 
  private:
   enum class TaskState { kWaiting, kLive, kDone };
