--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -132,13 +132,36 @@
   kFactorPercent,  // run time of a worker relative to a reference worker
 };
 
-inline constexpr EnumNames<LogField, 30> kLogFieldNames{
-    {"job",         "task",        "run",       "queue",          "worker",
-     "shard",       "data_center", "peer",      "version",        "token",
-     "cause",       "outcome",     "status",    "age_ms",         "elapsed_ms",
-     "expected_ms", "left_ms",     "waited_ms", "retry_after_ms", "room",
-     "size",        "tasks",       "queued",    "phase",          "strikes",
-     "count",       "home",        "via",       "reason"}};
+inline constexpr EnumNames<LogField, 30> kLogFieldNames{{"job",
+                                                         "task",
+                                                         "run",
+                                                         "queue",
+                                                         "worker",
+                                                         "shard",
+                                                         "data_center",
+                                                         "peer",
+                                                         "version",
+                                                         "token",
+                                                         "cause",
+                                                         "outcome",
+                                                         "status",
+                                                         "age_ms",
+                                                         "elapsed_ms",
+                                                         "expected_ms",
+                                                         "left_ms",
+                                                         "waited_ms",
+                                                         "retry_after_ms",
+                                                         "room",
+                                                         "size",
+                                                         "tasks",
+                                                         "queued",
+                                                         "phase",
+                                                         "strikes",
+                                                         "count",
+                                                         "home",
+                                                         "via",
+                                                         "reason",
+                                                         "factor_percent"}};
 
 // kPerRequest lines are limited by the budget. kState lines, about the state of
 // the whole process, are few and are dropped only if the buffer is full.
