--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -49,6 +49,7 @@
     job.unfinished.push_back(tasks.count);
     job.tasks.insert(job.tasks.end(), tasks.count, Task{.group = group});
   }
+  job.chains_after = ChainsAfter(job.request, job.run_times);
   job.waiting = job.tasks.size();
   BlockTasksThatRun(job);
   Estimate(job, now);
@@ -93,6 +94,11 @@
 std::optional<JobResult> LeaseDispatcher::CheckAdmission(const Job& job,
                                                          Time now) {
   if (!CanEverFit(job)) {
+    // Another owner may have workers outside that data centre.
+    if (NeedsEvacuatedWorkers(job))
+      return JobResult{.outcome = JobOutcome::kRefused,
+                       .cause = JobCause::kEvacuated,
+                       .retry_after = kNoWorkerRetryAfter};
     const bool has_workers =
         std::any_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
           return worker.second.entry.service == job.request.policy.service &&
@@ -129,17 +135,51 @@
 }
 
 bool LeaseDispatcher::CanEverFit(const Job& job) const {
-  return std::all_of(
-      job.request.groups.begin(), job.request.groups.end(),
-      [&](const TaskGroup& group) {
-        return std::any_of(
-            workers_.begin(), workers_.end(), [&](const auto& entry) {
-              const LeasedWorker& worker = entry.second;
-              return worker.entry.service == job.request.policy.service &&
-                     !worker.entry.leaving && !worker.releasing &&
-                     group.each.FitsIn(worker.entry.capacity);
-            });
-      });
+  return std::all_of(job.request.groups.begin(), job.request.groups.end(),
+                     [&](const TaskGroup& group) {
+                       return HasWorkerFor(job, group, /*is_evacuated=*/false);
+                     });
+}
+
+bool LeaseDispatcher::HasWorkerFor(const Job& job,
+                                   const TaskGroup& group,
+                                   bool is_evacuated) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const LeasedWorker& worker = entry.second;
+    return worker.is_evacuated == is_evacuated &&
+           worker.entry.service == job.request.policy.service &&
+           !worker.entry.leaving && !worker.releasing &&
+           group.each.FitsIn(worker.entry.capacity);
+  });
+}
+
+bool LeaseDispatcher::NeedsEvacuatedWorkers(const Job& job) const {
+  if (evacuated_.empty())
+    return false;
+  std::set<std::size_t> waiting;  // groups
+  for (const Task& task : job.tasks) {
+    if (task.state == TaskState::kWaiting)
+      waiting.insert(task.group);
+  }
+  return std::any_of(waiting.begin(), waiting.end(), [&](std::size_t index) {
+    const TaskGroup& group = job.request.groups[index];
+    return !HasWorkerFor(job, group, /*is_evacuated=*/false) &&
+           HasWorkerFor(job, group, /*is_evacuated=*/true);
+  });
+}
+
+void LeaseDispatcher::EndEvacuatedJobs(Time now) {
+  if (evacuated_.empty())
+    return;
+  const bool may_start =
+      std::any_of(evacuated_.begin(), evacuated_.end(),
+                  [now](const auto& entry) { return now < entry.second; });
+  const std::set<QueueKey> queued = queue_;
+  for (const QueueKey& key : queued) {
+    const Job& job = jobs_.at(key.job);
+    if ((!job.was_started || !may_start) && NeedsEvacuatedWorkers(job))
+      Cancel(key.job, JobCause::kEvacuated, now);
+  }
 }
 
 bool LeaseDispatcher::FitsNow(const Job& job, Time now) const {
@@ -154,8 +194,10 @@
       continue;
     const Resources free_capacity = worker.FreeCapacity();
     if (group.each.FitsIn(free_capacity))
-      places += free_capacity.millicores /
-                std::max<std::int64_t>(1, group.each.millicores);
+      places += worker.IsCold(now)
+                    ? 1
+                    : free_capacity.millicores /
+                          std::max<std::int64_t>(1, group.each.millicores);
   }
   return places >= group.count;
 }
@@ -164,7 +206,8 @@
   AdmissionLoad load{.fits_now = FitsNow(job, now)};
   for (const auto& [id, worker] : workers_) {
     if (worker.phase != WorkerPhase::kHeld || worker.entry.leaving ||
-        worker.releasing || worker.outcome_health.strikes() > 1)
+        worker.releasing || worker.is_evacuated ||
+        worker.outcome_health.strikes() > 1)
       continue;
     load.capacity += static_cast<double>(worker.entry.capacity.millicores);
     load.free += static_cast<double>(worker.FreeCapacity().millicores);
@@ -210,6 +253,8 @@
 }
 
 void LeaseDispatcher::Schedule(Time now) {
+  if (are_starts_held_)
+    return;
   schedule_due_ = false;
   std::vector<QueueKey> emptied;
   for (const QueueKey& key : queue_) {
@@ -227,10 +272,18 @@
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(workers_,
-                                        {group, job.request.policy.service,
-                                         job.request.id, task.avoided, timing_},
-                                        now);
+    LeasedWorker* worker = ChooseWorker(
+        workers_,
+        {.group = group,
+         .service = job.request.policy.service,
+         .job = job.request.id,
+         .avoided = task.avoided,
+         .timing = timing_,
+         .speeds = speeds_,
+         .run_time = LongestRun(job.run_times[task.group], group.count),
+         .latest_run_time = LatestRunTime(job, task.group, now),
+         .is_job_started = job.was_started},
+        now);
     if (!worker)
       break;
     StartTask(job, i, *worker, now);
@@ -238,6 +291,13 @@
   return job.waiting > 0;
 }
 
+Duration LeaseDispatcher::LatestRunTime(const Job& job,
+                                        std::size_t group,
+                                        Time now) {
+  return job.estimate.latest_start + job.estimate.longest_chain -
+         job.chains_after[group] - now;
+}
+
 void LeaseDispatcher::StartTask(Job& job,
                                 std::size_t index,
                                 LeasedWorker& worker,
@@ -272,14 +332,16 @@
                        .send_before = now + timing_.command_timeout,
                        .timeout = answer_timeout_.Timeout()};
   worker.runs.emplace(
-      run.task,
-      LeasedRun{.id = run,
-                .job = job.request.id,
-                .task = index,
-                .size = group.each,
-                .started = now,
-                .expected = std::max(job.run_times[task.group], task.projected),
-                .progressed = now});
+      run.task, LeasedRun{.id = run,
+                          .job = job.request.id,
+                          .task = index,
+                          .size = group.each,
+                          .started = now,
+                          .expected = FromMilliseconds(
+                              ToMilliseconds(std::max(job.run_times[task.group],
+                                                      task.projected)) *
+                              speeds_.SpeedOf(worker.entry.id).factor()),
+                          .progressed = now});
   actions_.emplace_back(std::move(command));
   // Sends a renewal unless one is already waiting at the worker: the waiting
   // renewal reports the end of the run.
@@ -428,7 +490,7 @@
 OwnerLoad LeaseDispatcher::Load(Time now) const {
   OwnerLoad load;
   for (const auto& [id, worker] : workers_) {
-    if (!worker.CanStart(timing_, now))
+    if (are_starts_held_ || !worker.CanStart(timing_, now))
       continue;
     load.capacity_millicores += worker.entry.capacity.millicores;
     load.free_millicores += worker.FreeCapacity().millicores;
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -31,6 +31,24 @@
   Duration length{};
 };
 
+// The workers from `kFirstEvacuated` on, a quarter of the processors, are in a
+// data centre that is evacuated.
+struct LoadEvacuation {
+  Duration begin{};
+  Duration length{};
+};
+
+// The workers of the data centre, and how their speeds differ.
+struct LoadWorkers {
+  int count = 12;
+  // Multiplies the run times of tasks started on a worker, by its index and the
+  // time since the begin.
+  std::function<double(int, Duration)> factor;
+  std::function<std::string(int)> label;
+  double spread_within_job = 0;   // of logarithms of run times
+  double share_of_long_jobs = 0;  // which take 7 times as long
+};
+
 struct LoadOutcome {
   int submitted = 0;
   int in_objective = 0;
@@ -49,26 +67,46 @@
   // Each answer of a worker is lost with probability `loss`, after the command
   // was carried out. Each start is carried out 1.5 s late, and not answered,
   // with probability `delay`.
-  explicit LoadSimulation(unsigned seed, double loss = 0, double delay = 0)
-      : random_(seed), loss_(loss), delay_(delay) {
+  explicit LoadSimulation(unsigned seed,
+                          double loss = 0,
+                          double delay = 0,
+                          LoadWorkers workers = {})
+      : random_(seed),
+        loss_(loss),
+        delay_(delay),
+        load_workers_(std::move(workers)) {
     // Sizes of a small site's data centre: two in three have 64 cores, the
     // others 96.
-    for (int i = 0; i < 12; ++i) {
+    for (int i = 0; i < load_workers_.count; ++i) {
       const std::string id = "w" + std::to_string(10 + i);
       const std::int64_t millicores = i % 3 == 2 ? 96'000 : 64'000;
-      fixture_.dispatcher.Own(MakeWorker(id, millicores), kToken, fixture_.now);
+      WorkerEntry entry = MakeWorker(id, millicores);
+      if (i >= kFirstEvacuated)
+        entry.data_center = kEvacuated;
+      if (load_workers_.label)
+        entry.labels = {load_workers_.label(i)};
+      fixture_.dispatcher.Own(entry, kToken, fixture_.now);
       models_.emplace(id, WorkerModel({}, NowMs()));
     }
   }
 
   // The outcomes by kind. Those of callers that had to send their job again are
   // kept apart, under the kind's name with kReturned.
-  std::map<std::string, LoadOutcome> Run(const std::vector<LoadKind>& kinds,
-                                         int seconds,
-                                         const Outage& outage = {}) {
+  std::map<std::string, LoadOutcome> Run(
+      const std::vector<LoadKind>& kinds,
+      int seconds,
+      const Outage& outage = {},
+      const LoadEvacuation& evacuation = {}) {
+    evacuated_at_ = fixture_.now + evacuation.begin;
+    withdrawn_at_ = evacuated_at_ + evacuation.length;
     const Time begin = fixture_.now + outage.begin;
     for (int ms = 0; ms < seconds * 1000; ++ms) {
       fixture_.now += std::chrono::milliseconds(1);
+      if (evacuation.length.count() > 0 && fixture_.now == evacuated_at_)
+        fixture_.dispatcher.SetEvacuated(
+            {{kEvacuated, fixture_.now + kLastStarts}}, fixture_.now);
+      if (evacuation.length.count() > 0 && fixture_.now == withdrawn_at_)
+        Withdraw();
       const bool is_out =
           fixture_.now >= begin && fixture_.now < begin + outage.length;
       for (const LoadKind& kind : kinds) {
@@ -96,6 +134,18 @@
     return outcomes_;
   }
 
+  // Starts in the evacuated data centre after its last starts, and after the
+  // withdrawal.
+  int evacuated_starts() const { return evacuated_starts_; }
+  int resumed_starts() const { return resumed_starts_; }
+  // The capacity reported by the withdrawal, in millicores.
+  std::int64_t resumed_capacity() const { return resumed_capacity_; }
+
+  static constexpr int kFirstEvacuated = 9;
+  static constexpr Duration kLastStarts = std::chrono::milliseconds(300);
+
+  const LeaseDispatcher& dispatcher() const { return fixture_.dispatcher; }
+
   // Counts from now on only.
   void ForgetOutcomes() { outcomes_.clear(); }
 
@@ -128,7 +178,10 @@
   }
 
   LoadJob MakeRandomJob(const LoadKind& kind) {
-    const double run_ms = std::max(5.0, Lognormal(kind.run_ms, 0.4));
+    double run_ms = std::max(5.0, Lognormal(kind.run_ms, 0.4));
+    if (load_workers_.share_of_long_jobs > 0 &&
+        std::bernoulli_distribution(load_workers_.share_of_long_jobs)(random_))
+      run_ms *= 7;
     return {
         .kind = kind.name,
         .first_sent = fixture_.now,
@@ -164,6 +217,16 @@
       ++outcomes_[load_job.kind].refused_despite_capacity;
   }
 
+  std::int64_t RunMs(const StartCommand& start, const LoadJob& job) {
+    double run_ms = static_cast<double>(job.run_ms);
+    if (load_workers_.spread_within_job > 0)
+      run_ms = Lognormal(run_ms, load_workers_.spread_within_job);
+    if (load_workers_.factor)
+      run_ms *= load_workers_.factor(
+          std::stoi(start.target.worker.substr(1)) - 10, fixture_.now - begin_);
+    return static_cast<std::int64_t>(run_ms);
+  }
+
   std::uint32_t Places(std::int64_t millicores) const {
     std::int64_t places = 0;
     for (const auto& [id, worker] : fixture_.dispatcher.workers()) {
@@ -180,26 +243,26 @@
     for (int round = 0; round < 3; ++round) {
       for (const StartCommand& start : std::exchange(fixture_.starts, {})) {
         WorkerModel& model = models_.at(start.target.worker);
+        CountStart(start.target.worker);
         const LoadJob& load_job =
             jobs_.at(start.run.task.substr(0, start.run.task.find('.')));
+        const std::int64_t run_ms = RunMs(start, load_job);
         if (IsDelayed()) {
           lost_.emplace_back(fixture_.now + start.timeout, [this, start] {
             fixture_.dispatcher.DidStart(start, CommandAnswer::kNoAnswer, 0,
                                          fixture_.now);
           });
-          lost_.emplace_back(
-              fixture_.now + kLateBy, [this, start, &model, &load_job] {
-                model.Start(start.run, kToken, start.lease_until_ms,
-                            {.millicores = load_job.millicores,
-                             .run_ms = load_job.run_ms},
-                            NowMs());
-              });
+          lost_.emplace_back(fixture_.now + kLateBy, [this, start, &model,
+                                                      &load_job, run_ms] {
+            model.Start(start.run, kToken, start.lease_until_ms,
+                        {.millicores = load_job.millicores, .run_ms = run_ms},
+                        NowMs());
+          });
           continue;
         }
         const CommandAnswer answer = model.Start(
             start.run, kToken, start.lease_until_ms,
-            {.millicores = load_job.millicores, .run_ms = load_job.run_ms},
-            NowMs());
+            {.millicores = load_job.millicores, .run_ms = run_ms}, NowMs());
         if (LosesAnswer())
           lost_.emplace_back(fixture_.now + start.timeout, [this, start] {
             fixture_.dispatcher.DidStart(start, CommandAnswer::kNoAnswer, 0,
@@ -221,6 +284,25 @@
       Count(finish);
   }
 
+  void Withdraw() {
+    const std::int64_t before =
+        fixture_.dispatcher.Load(fixture_.now).capacity_millicores;
+    fixture_.dispatcher.SetEvacuated({}, fixture_.now);
+    resumed_capacity_ =
+        fixture_.dispatcher.Load(fixture_.now).capacity_millicores - before;
+  }
+
+  void CountStart(const std::string& worker) {
+    const std::string& data_center =
+        fixture_.dispatcher.workers().at(worker).entry.data_center;
+    if (data_center != kEvacuated || fixture_.now < evacuated_at_)
+      return;
+    if (fixture_.now >= withdrawn_at_)
+      ++resumed_starts_;
+    else if (fixture_.now >= evacuated_at_ + kLastStarts)
+      ++evacuated_starts_;
+  }
+
   void AnswerRenewals() {
     for (const RenewCommand& renewal : std::exchange(fixture_.renewals, {}))
       waiting_.emplace_back(NowMs(), renewal);
@@ -286,7 +368,9 @@
   std::mt19937 random_;
   const double loss_;
   const double delay_;
+  const LoadWorkers load_workers_;
   LeaseFixture fixture_;
+  const Time begin_ = fixture_.now;
   std::map<std::string, WorkerModel> models_;
   std::vector<std::pair<std::int64_t, RenewCommand>> waiting_;
   std::vector<std::pair<Time, std::function<void()>>> lost_;
@@ -294,6 +378,12 @@
   std::multimap<Time, LoadJob> returning_;  // by the time of the next try
   std::map<std::string, LoadOutcome> outcomes_;
   int next_job_ = 0;
+  static constexpr const char* kEvacuated = "tanger";
+  Time evacuated_at_;
+  Time withdrawn_at_;
+  int evacuated_starts_ = 0;
+  int resumed_starts_ = 0;
+  std::int64_t resumed_capacity_ = 0;
 };
 
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -39,6 +39,7 @@
          .claim = [this](ClaimShard&& claim) { claims.push_back(claim); },
          .probe = [](ProbeDataCenter&&) {}});
     control.ownership().SetShardCount("rif", 1);
+    control.ReplaceEvacuations({}, 1, "feed", now, now);
   }
 
   void ClaimShardNow() {
@@ -159,6 +160,7 @@
   control.Tick(now);
   now += milliseconds(900);
   control.ownership().DidProbe("tanger", true, now);
+  control.Tick(now);  // a longer gap between ticks counts as a pause
   now += milliseconds(900);
   control.ownership().DidProbe("tanger", true, now);
   control.Tick(now);
