--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -53,10 +53,11 @@
   kTaskStopped,
   kAnswered,
   kRequestMalformed,
+  kUnexpectedError,
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 39> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 40> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -95,6 +96,7 @@
      "task_stopped",
      "answered",
      "request_malformed",
+     "unexpected_error",
      "lines_dropped"}};
 
 enum class LogField {
@@ -127,9 +129,10 @@
   kHome,
   kVia,
   kReason,
+  kFactorPercent,  // run time of a worker relative to a reference worker
 };
 
-inline constexpr EnumNames<LogField, 29> kLogFieldNames{
+inline constexpr EnumNames<LogField, 30> kLogFieldNames{
     {"job",         "task",        "run",       "queue",          "worker",
      "shard",       "data_center", "peer",      "version",        "token",
      "cause",       "outcome",     "status",    "age_ms",         "elapsed_ms",
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -166,8 +166,8 @@
   }
 }
 
-bool LeaseDispatcher::IsStalled(const LeasedRun& run, Time now) const {
-  return now - run.progressed > std::max(kStallTime, run.expected / 4);
+bool LeaseDispatcher::IsStalled(const LeasedRun& run, Time made_at) const {
+  return made_at - run.progressed > std::max(kStallTime, run.expected / 4);
 }
 
 void LeaseDispatcher::DidSucceed(LeasedWorker& worker,
@@ -234,6 +234,17 @@
   return best.value_or(1);
 }
 
+bool LeaseDispatcher::HasOtherRuns(const LeasedWorker& except,
+                                   const LeasedRun& run) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const LeasedWorker& worker = entry.second;
+    return &worker != &except &&
+           std::any_of(
+               worker.runs.begin(), worker.runs.end(),
+               [&](const auto& other) { return other.second.job == run.job; });
+  });
+}
+
 bool LeaseDispatcher::WasMoved(const LeasedRun& run) const {
   const auto job = jobs_.find(run.job);
   return job != jobs_.end() &&
@@ -242,49 +253,58 @@
 
 bool LeaseDispatcher::IsStraggling(const LeasedWorker& worker,
                                    const LeasedRun& run,
-                                   Time now) const {
-  const Duration elapsed = now - run.started;
+                                   Time made_at) const {
+  const Duration elapsed = made_at - run.started;
   if (elapsed < kStragglerCheckShare * run.expected || run.percent <= 0)
     return false;
-  const Duration total = ProjectTotal(run, now);
+  const Duration total = ProjectTotal(run, made_at);
   const WorkerSpeed speed = speeds_.SpeedOf(worker.entry.id);
   // A task that was as slow elsewhere is long, whatever the worker's speed.
   const double threshold =
       kStragglerFactor * (WasMoved(run) ? 1 : std::exp(speed.error));
   if (total <= threshold * run.expected)
     return false;
-  const std::optional<double> siblings = RatioOfSiblings(run, now);
+  const std::optional<double> siblings = RatioOfSiblings(run, made_at);
+  if (!siblings && HasOtherRuns(worker, run))
+    return false;  // their first progress will show whether the job is long
   // Without siblings, a long job is likelier than a fault of a worker whose
   // other runs are as expected.
-  if (!siblings &&
-      RatioOfNeighbours(worker, run, now).value_or(threshold) < kNormalFactor)
+  if (!siblings && RatioOfNeighbours(worker, run, made_at).value_or(threshold) <
+                       kNormalFactor)
     return false;
   const double of_job = std::max(1.0, siblings.value_or(1));
   if (total <= threshold * of_job * run.expected)
     return false;
   const double elsewhere_ms = ToMilliseconds(run.expected) * of_job *
-                              BestFactor(worker, run, now) / speed.factor();
+                              BestFactor(worker, run, made_at) / speed.factor();
   return total - elapsed > FromMilliseconds(elsewhere_ms) + kRestartCost;
 }
 
-void LeaseDispatcher::StopStragglers(LeasedWorker& worker, Time now) {
+void LeaseDispatcher::StopStragglers(LeasedWorker& worker,
+                                     Time made_at,
+                                     Time now) {
   // A run that is stopped there may have no other worker to start again on.
   if (worker.is_evacuated)
     return;
   for (auto& [task, run] : worker.runs) {
     if (run.state != RunState::kRunning || run.job.empty())
       continue;
-    const bool is_stalled = IsStalled(run, now);
-    if (!is_stalled && !IsStraggling(worker, run, now))
+    const bool is_stalled = IsStalled(run, made_at);
+    if (!is_stalled && !IsStraggling(worker, run, made_at))
       continue;
     ++counters_.stragglers;
     if (const auto job = jobs_.find(run.job); job != jobs_.end() && !is_stalled)
       job->second.tasks[run.task].projected =
-          FromMilliseconds(ToMilliseconds(ProjectTotal(run, now)) /
+          FromMilliseconds(ToMilliseconds(ProjectTotal(run, made_at)) /
                            speeds_.SpeedOf(worker.entry.id).factor());
     // Only siblings that run as expected show that the worker is at fault, and
     // not a long job.
-    if (is_stalled || RatioOfSiblings(run, now))
+    StragglerKind kind = StragglerKind::kStalled;
+    if (!is_stalled)
+      kind = RatioOfSiblings(run, made_at) ? StragglerKind::kFaultyWorker
+                                           : StragglerKind::kUnexplained;
+    ++counters_.straggler_kinds[static_cast<std::size_t>(kind)];
+    if (kind != StragglerKind::kUnexplained)
       ExcludeWorker(worker, now);
     StopRun(worker, run, now);
   }
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -107,7 +107,8 @@
   const Ownership::Self& self() const { return self_; }
   const OwnershipTiming& ownership_timing() const { return ownership_timing_; }
   Time workers_read_at() const { return workers_read_at_; }
-  // Whether a shard was claimed after the list of workers was read.
+  // Whether a shard was claimed after the list of workers was read, or this
+  // process was paused since.
   bool NeedsFreshWorkerList() const;
 
   // VMs that own workers with known capacity and accept jobs.
@@ -118,6 +119,9 @@
   void IndexWorkers();
   void SyncWorkers(Time now);
   void SyncWorker(const WorkerEntry& entry, Time now);
+  // Whether nothing may start since the list of workers is older than a pause
+  // of this process: a worker may have begun to leave meanwhile.
+  bool AwaitsListAfterPause(Time now) const;
   bool IsListFresh(const ShardId& shard, Time now) const;
   void RemoveMissingWorkers(Time now);
   void UpdateBusyWorkers();
@@ -127,6 +131,9 @@
   // Holds starts after a pause of the process, during which evacuations may
   // have been requested.
   void DetectPause(Time now);
+  // Holds starts while the operator's table or the list of workers is older
+  // than a pause of this process.
+  void HoldStartsWhileStale(Time now);
   void DidChangeEvacuations(const std::vector<std::string>& changed,
                             std::string_view via,
                             Time acknowledged_after,
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibFiber/fiber_errors.h"
 #include "LibFiber/fiber_thread.h"
 #include "LibLease/worker_list_sharing.h"
 #include "platform/registry_codec.h"
@@ -37,6 +38,7 @@
 constexpr milliseconds kShareTimeout{300};
 // Queues change slowly, and calls to the store are paid for.
 constexpr milliseconds kLearnedInterval{10'000};
+constexpr milliseconds kRecallInterval{60'000};
 // VMs of a data centre that count its workers at the first start, and the time
 // after which one more does.
 constexpr std::int64_t kWorkerCounters = 2;
@@ -77,11 +79,18 @@
 void StoreLoop::Start() {
   started_at_ = BootClock::now();
   answered_at_ = started_at_;
-  fibers_.Run([this] { FollowOperatorTable(); });
-  fibers_.Run([this] { FollowSharedTable(); });
-  fibers_.Run([this] { ReadWorkers(); });
-  fibers_.Run([this] { RecallQueues(); });
-  fibers_.Run([this] { KeepLearnedQueues(); });
+  RunLoop("operator_table", [this] { FollowOperatorTable(); });
+  RunLoop("shared_table", [this] { FollowSharedTable(); });
+  RunLoop("workers", [this] { ReadWorkers(); });
+  RunLoop("recall", [this] { RecallLearned(); });
+  RunLoop("learned", [this] { KeepLearned(); });
+}
+
+void StoreLoop::RunLoop(std::string_view name, std::function<void()> loop) {
+  fibers_.Run([name, loop = std::move(loop)] {
+    while (!RunGuarded(name, loop))
+      SleepFiber(kRetryDelay);
+  });
 }
 
 template <typename T>
@@ -236,7 +245,10 @@
   if (is_reading_operator_)
     return;
   is_reading_operator_ = true;
-  fibers_.Run([this] { ReadOperatorTable(); });
+  fibers_.Run([this] {
+    RunGuarded("operator_table", [this] { ReadOperatorTable(); });
+    is_reading_operator_ = false;
+  });
 }
 
 void StoreLoop::ReadOperatorTable() {
@@ -255,10 +267,24 @@
       SleepFiber(kRetryDelay);
     }
   } while (control_.AwaitsOperatorTable());
-  is_reading_operator_ = false;
 }
 
-void StoreLoop::RecallQueues() {
+bool StoreLoop::RecallRow(const StoreRow& row) {
+  if (HoldsLearnedClasses(row)) {
+    const auto classes = DecodeLearnedClasses(row);
+    if (classes)
+      control_.dispatcher().Recall(*classes);
+    if (classes && row.key == LearnedClassesKey(self_.data_center))
+      stored_classes_ = *classes;
+    return classes.has_value();
+  }
+  const auto queues = DecodeLearnedQueues(row);
+  if (queues)
+    control_.dispatcher().Recall(*queues);
+  return queues.has_value();
+}
+
+void StoreLoop::RecallLearned() {
   while (true) {
     const platform::StoreResult<RowPage> page =
         store_.Read(kLearnedTable, kCallTimeout);
@@ -268,29 +294,41 @@
       continue;
     }
     for (const StoreRow& row : page->rows) {
-      if (const auto queues = DecodeLearnedQueues(row)) {
-        control_.dispatcher().Recall(*queues);
+      if (RecallRow(row))
         continue;
-      }
       control_.log()
           .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
                  LogBudget::kState)
           .Add(LogField::kReason, row.key);
     }
+    recalled_at_ = BootClock::now();
     return;
   }
 }
 
-void StoreLoop::KeepLearnedQueues() {
+void StoreLoop::KeepLearned() {
   while (true) {
     SleepFiber(kLearnedInterval);
-    const LearnedQueues queues = control_.dispatcher().Learned();
+    const LeaseDispatcher& dispatcher = control_.dispatcher();
+    // A VM that is to own workers later needs what is learned until then.
+    if (!is_lost_ && dispatcher.workers().empty() &&
+        BootClock::now() - recalled_at_ >= kRecallInterval)
+      RecallLearned();
+    const LearnedQueues queues = dispatcher.Learned();
     if (is_lost_ || queues.empty() ||
         !IsListReader(control_.ownership(), BootClock::now()))
       continue;
+    DidCall(store_.Change(EncodeLearnedQueues(self_.data_center, queues),
+                          kCallTimeout));
+    const LearnedClasses classes = dispatcher.LearnedWorkers();
+    // An empty row replaces one that no longer holds.
+    if (classes == stored_classes_)
+      continue;
     const auto written = store_.Change(
-        EncodeLearnedQueues(self_.data_center, queues), kCallTimeout);
+        EncodeLearnedClasses(self_.data_center, classes), kCallTimeout);
     DidCall(written);
+    if (written)
+      stored_classes_ = classes;
   }
 }
 
