--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -26,6 +26,7 @@
 #include "LibSchedule/duration_estimator.h"
 #include "LibSchedule/learned_queues.h"
 #include "LibSchedule/owner_load.h"
+#include "LibSchedule/queue_shares.h"
 #include "LibSchedule/worker_speeds.h"
 
 namespace mustardbank {
@@ -109,7 +110,12 @@
   LearnedQueues Learned() const;
   // Takes over what another process learned about queues of which this one
   // knows less.
-  void Recall(const LearnedQueues& queues);
+  void Recall(const LearnedQueues& queues, Time now);
+
+  // Load tests compare outcomes with and without the shares of queues.
+  void set_limits_queues_for_testing(bool limits_queues) {
+    limits_queues_ = limits_queues;
+  }
 
  private:
   enum class TaskState { kWaiting, kLive, kDone };
@@ -145,6 +151,7 @@
     std::size_t done = 0;
     bool was_started = false;  // a start command was issued
     bool is_late = false;      // could not meet its objective on arrival
+    bool is_held = false;  // waits as it must leave capacity to other queues
   };
 
   // Late jobs come after all others.
@@ -159,6 +166,14 @@
   // Queue.
   void Estimate(Job& job, Time now);
   std::optional<JobResult> CheckAdmission(const Job& job, Time now);
+  std::optional<JobResult> CheckShare(const Job& job,
+                                      AdmissionLoad load,
+                                      Time latest_end,
+                                      Time now);
+  bool MustLeaveCapacity(const Job& job, const QueueUses& running) const;
+  // Millicores that run, by queue. Runs whose job has ended have none.
+  QueueUses RunningByQueue() const;
+  double UsableCapacity() const;
   static Time LatestStartOf(const Job& job);
   bool FitsNow(const Job& job, Time now) const;
   bool CanEverFit(const Job& job) const;
@@ -256,6 +271,8 @@
   CallerTimeouts caller_timeouts_;
   WorkerSpeeds speeds_;
   Time speeds_fitted_at_;
+  QueueShares shares_;
+  bool limits_queues_ = true;
   AnswerTimeout answer_timeout_;  // of starts and stops
   std::vector<LeaseAction> actions_;
   std::vector<std::string> fenced_;
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -85,6 +85,9 @@
     case JobCause::kEvacuated:
       return "refused or given up: the operator evacuates the data centre of "
              "the workers";
+    case JobCause::kOverShare:
+      return "refused on arrival: a burst of its queue would have taken the "
+             "shares of other queues";
   }
   return "unknown";
 }
--- a/Libraries/LibSchedule/job.h
+++ b/Libraries/LibSchedule/job.h
@@ -89,13 +89,17 @@
   kNoOwner,      // no VM that owns workers can be reached
   kLeaving,      // this VM stops before the job would end
   kEvacuated,    // the operator evacuates the data centre of the workers
+  kOverShare,    // a burst of its queue must leave other queues their shares
 };
 
-inline constexpr EnumNames<JobCause, 19> kJobCauseNames{
-    {"none", "task_failed", "runs_lost", "no_room", "waited_too_long",
-     "never_fits", "not_owner", "handed_over", "deadline", "cancelled",
-     "ownership_lost", "home_silent", "unsupported", "no_configuration",
-     "no_queue", "owner_silent", "no_owner", "leaving", "evacuated"}};
+inline constexpr EnumNames<JobCause, 20> kJobCauseNames{
+    {"none",         "task_failed",      "runs_lost",
+     "no_room",      "waited_too_long",  "never_fits",
+     "not_owner",    "handed_over",      "deadline",
+     "cancelled",    "ownership_lost",   "home_silent",
+     "unsupported",  "no_configuration", "no_queue",
+     "owner_silent", "no_owner",         "leaving",
+     "evacuated",    "over_share"}};
 
 struct JobResult {
   JobOutcome outcome = JobOutcome::kRefused;
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -130,7 +130,10 @@
              [this](ClaimShard&& claim) {
                control.ownership().DidClaim(claim, 12, now);
              },
-         .probe = [](ProbeDataCenter&&) {}});
+         .probe = [](ProbeDataCenter&&) {},
+         .read_operator_table = [] {}});
+    // Nothing starts before the operator's table is known.
+    control.ReplaceEvacuations({}, 1, "feed", now, now);
     control.ownership().SetShardCount("rif", 1);
     control.ownership().DidReadMember({.name = "peer",
                                        .data_center = "rif",
