LibLease: Judge one task of a job when it waits for a fast worker

Owners with a tenth of a core were short of processor time on Tiles: each pass over the queue summed up what every queue runs, also with queue_shares off, and judged each waiting task of a job by itself.

--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -348,11 +348,13 @@
   std::optional<QueueUses> running;  // empty after a change
   for (const QueueKey& key : queue_) {
     Job& job = jobs_.at(key.job);
-    if (!running)
-      running = RunningByQueue();
-    job.is_held = MustLeaveCapacity(job, *running);
-    if (job.is_held)
-      continue;
+    if (limits_queues_) {
+      if (!running)
+        running = RunningByQueue();
+      job.is_held = MustLeaveCapacity(job, *running);
+      if (job.is_held)
+        continue;
+    }
     const std::size_t waiting = job.waiting;
     const bool is_waiting = StartWaiting(job, now);
     if (job.waiting < waiting)
@@ -385,8 +387,10 @@
         now);
     if (!worker)
       break;
+    // The job's other tasks would wait as well. Judging each of them is too
+    // dear for owners with a tenth of a core.
     if (IsWorthWaiting(job, task, *worker, now))
-      continue;
+      break;
     StartTask(job, i, *worker, now);
   }
   return job.waiting > 0;
