LibLease: Log and count workers that are lost with their runs

Change: the line worker_lost with the evidence and the tasks, lost_workers in task_started, and three counters. No decision changes.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -40,6 +40,7 @@
   kWorkerRemoved,
   kWorkerPhase,
   kWorkerExcluded,
+  kWorkerLost,
   kWorkersNotShared,
   kJobReceived,
   kJobForwarded,
@@ -57,7 +58,7 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 40> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 41> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -83,6 +84,7 @@
      "worker_removed",
      "worker_phase",
      "worker_excluded",
+     "worker_lost",
      "workers_not_shared",
      "job_received",
      "job_forwarded",
@@ -130,9 +132,10 @@
   kVia,
   kReason,
   kFactorPercent,  // run time of a worker relative to a reference worker
+  kLostWorkers,    // workers lost while they ran the task
 };
 
-inline constexpr EnumNames<LogField, 30> kLogFieldNames{{"job",
+inline constexpr EnumNames<LogField, 31> kLogFieldNames{{"job",
                                                          "task",
                                                          "run",
                                                          "queue",
@@ -161,7 +164,8 @@
                                                          "home",
                                                          "via",
                                                          "reason",
-                                                         "factor_percent"}};
+                                                         "factor_percent",
+                                                         "lost_workers"}};
 
 // kPerRequest lines are limited by the budget. kState lines, about the state of
 // the whole process, are few and are dropped only if the buffer is full.
--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -34,6 +34,11 @@
   DurationHistogram run_time;    // of tasks, from the start command to the end
   DurationHistogram start_time;  // of start commands, until they are answered
   std::uint64_t stops = 0;
+  std::array<std::uint64_t, kLossEvidenceNames.names.size()>
+      workers_lost{};           // that had runs, by evidence
+  std::uint64_t runs_lost = 0;  // with their worker
+  // Starts of tasks under which one or more workers were lost.
+  std::uint64_t starts_after_loss = 0;
   std::uint64_t runs_vanished = 0;  // reported neither as running nor as ended
   std::uint64_t stragglers = 0;
   std::array<std::uint64_t, kStragglerKindNames.names.size()> straggler_kinds{};
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -124,6 +124,7 @@
     std::uint32_t next_run = 1;
     std::uint32_t failures = 0;
     std::uint32_t restarts = 0;
+    std::uint32_t lost_workers = 0;  // while they ran the task
     std::string avoided;  // worker of the last run that did not succeed
     // Projected duration of the last run that was stopped as a straggler. If a
     // run on another worker is as slow, the task itself is long.
@@ -217,6 +218,8 @@
                   const RenewReport& report,
                   Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
+  // Records that the worker was lost with all its runs.
+  void NoteLoss(const LeasedWorker& worker, LossEvidence evidence, Time now);
   // Ends all runs, since their lease has lapsed. Keeps the capacity of those
   // that may still start.
   void LapseAllRuns(LeasedWorker& worker, Time now);
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -467,7 +467,10 @@
       .Add(LogField::kRoom, worker.FreeCapacity().millicores)
       .Add(LogField::kSize, group.each.millicores)
       .Add(LogField::kAgeMs, now - worker.answered_at)
-      .Add(LogField::kFactorPercent, FactorPercent(worker));
+      .Add(LogField::kFactorPercent, FactorPercent(worker))
+      .Add(LogField::kLostWorkers, task.lost_workers);
+  if (task.lost_workers > 0)
+    ++counters_.starts_after_loss;
   const double factor = speeds_.SpeedOf(worker.entry.id).factor();
   if (IsLate(FromMilliseconds(factor *
                               ToMilliseconds(LongestRun(
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -26,6 +26,8 @@
 constexpr Duration kRestartCost = std::chrono::milliseconds(60);
 // Restarts of a task, for any cause, before its job is given up.
 constexpr std::uint32_t kMostRestarts = 6;
+// Of the names of tasks in one line of the log.
+constexpr std::size_t kMostLoggedTaskBytes = 200;
 
 // The total duration of a run that continues at its average speed so far.
 Duration ProjectTotal(const LeasedRun& run, Time now) {
@@ -54,7 +56,33 @@
     EndRun(worker, worker.runs.begin()->first, end, now);
 }
 
+void LeaseDispatcher::NoteLoss(const LeasedWorker& worker,
+                               LossEvidence evidence,
+                               Time now) {
+  if (worker.runs.empty())
+    return;
+  ++counters_.workers_lost[static_cast<std::size_t>(evidence)];
+  counters_.runs_lost += worker.runs.size();
+  std::string tasks;
+  for (const auto& [task, run] : worker.runs) {
+    if (const auto job = jobs_.find(run.job); job != jobs_.end())
+      ++job->second.tasks[run.task].lost_workers;
+    if (tasks.size() < kMostLoggedTaskBytes)
+      tasks += (tasks.empty() ? "" : " ") + task;
+  }
+  log_.Write(LogEvent::kWorkerLost, now, LogBudget::kState)
+      .Add(LogField::kWorker, worker.entry.id)
+      .Add(LogField::kCause, kLossEvidenceNames[evidence])
+      .Add(LogField::kAgeMs, now - worker.answered_at)
+      .Add(LogField::kCount, worker.runs.size())
+      .Add(LogField::kReason, tasks);
+}
+
 void LeaseDispatcher::LapseAllRuns(LeasedWorker& worker, Time now) {
+  NoteLoss(worker,
+           worker.phase == WorkerPhase::kDown ? LossEvidence::kRefusedConnection
+                                              : LossEvidence::kSilent,
+           now);
   for (const auto& [task, run] : worker.runs) {
     if (!run.was_seen)
       worker.unsettled_starts[task] = {.id = run.id, .size = run.size};
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -81,6 +81,7 @@
   it->second.unlisted = true;
   if (!it->second.IsIdle() && now < it->second.lapsed_at)
     return;
+  NoteLoss(it->second, LossEvidence::kUnlisted, now);
   EndAllRuns(it->second, RunEnd::kLapsed, now);
   log_.Write(LogEvent::kWorkerRemoved, now, LogBudget::kState)
       .Add(LogField::kWorker, id)
@@ -260,6 +261,7 @@
   DidFindDown(worker, now);
   worker.foreign_runs = 0;
   worker.unsettled_starts.clear();
+  NoteLoss(worker, LossEvidence::kReplaced, now);
   EndAllRuns(worker, RunEnd::kLapsed, now);
 }
 
@@ -275,8 +277,10 @@
     // list the runs of the old one, but may list a run that was started since.
     worker.acknowledged = 0;
     worker.acknowledged_sent = 0;
-    if (worker.incarnation != 0)
+    if (worker.incarnation != 0) {
       speeds_.Forget(worker.entry.id);
+      NoteLoss(worker, LossEvidence::kRestarted, now);
+    }
     worker.has_report = false;
   }
   worker.incarnation = report.incarnation;
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -62,6 +62,18 @@
 inline constexpr EnumNames<RunEnd, 5> kRunEndNames{
     {"done", "failed", "stopped", "lapsed", "broken"}};
 
+// What showed that a worker no longer has its runs.
+enum class LossEvidence {
+  kRefusedConnection,  // nothing listened at its address until the lease lapsed
+  kSilent,             // it did not answer until the lease lapsed
+  kReplaced,           // another worker answers at its address
+  kRestarted,          // it reports a new incarnation
+  kUnlisted,           // its registration was removed
+};
+
+inline constexpr EnumNames<LossEvidence, 5> kLossEvidenceNames{
+    {"refused_connection", "silent", "replaced", "restarted", "unlisted"}};
+
 struct RunningTask {
   RunId run;
   int percent = 0;  // progress
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -159,6 +159,12 @@
                    kCommandAnswerNames, counters.renewals);
   writer.CountEach("runs_ended", "Runs by their end", "end", kRunEndNames,
                    counters.ends);
+  writer.CountEach("workers_lost", "Workers lost while they had runs",
+                   "evidence", kLossEvidenceNames, counters.workers_lost);
+  writer.Count("runs_lost", "Runs lost with their worker", counters.runs_lost);
+  writer.Count("starts_after_loss",
+               "Starts of tasks under which a worker was lost",
+               counters.starts_after_loss);
   writer.Histogram("request", "Time to the answer of a caller",
                    jobs.counters().request_time);
   writer.Histogram("queue", "Time of a job until its first task starts",
