LibLease: Read a worker's capacity from its reports

Cause: the report to a lease renewal was read without its capacity, so that a capacity that shrank was known only from the registration, which the worker can't write while the store is down or it is cut off from it. Change: the lesser of the registered and the last reported capacity holds for placement, admission and the reported load. A report that was overtaken doesn't count, a new incarnation begins anew, an unreadable capacity is counted and leaves the last one in force. A capacity that changes within a life no longer makes the worker another kind for its learned speed.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -41,6 +41,7 @@
   kWorkerPhase,
   kWorkerExcluded,
   kWorkerLost,
+  kWorkerCapacity,
   kWorkersNotShared,
   kJobReceived,
   kJobForwarded,
@@ -58,7 +59,7 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 41> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 42> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -85,6 +86,7 @@
      "worker_phase",
      "worker_excluded",
      "worker_lost",
+     "worker_capacity",
      "workers_not_shared",
      "job_received",
      "job_forwarded",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -217,6 +217,7 @@
                   const RenewCommand& command,
                   const RenewReport& report,
                   Time now);
+  void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
   // Records that the worker was lost with all its runs.
   void NoteLoss(const LeasedWorker& worker, LossEvidence evidence, Time now);
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -217,7 +217,7 @@
   double capacity = 0;
   for (const auto& [id, worker] : workers_) {
     if (IsUsable(worker))
-      capacity += static_cast<double>(worker.entry.capacity.millicores);
+      capacity += static_cast<double>(worker.Capacity().millicores);
   }
   return capacity;
 }
@@ -237,7 +237,7 @@
     return worker.is_evacuated == is_evacuated &&
            worker.entry.service == job.request.policy.service &&
            !worker.entry.leaving && !worker.releasing &&
-           group.each.FitsIn(worker.entry.capacity);
+           group.each.FitsIn(worker.Capacity());
   });
 }
 
@@ -297,7 +297,7 @@
   for (const auto& [id, worker] : workers_) {
     if (!IsUsable(worker))
       continue;
-    load.capacity += static_cast<double>(worker.entry.capacity.millicores);
+    load.capacity += static_cast<double>(worker.Capacity().millicores);
     // A cold worker gets no second task.
     if (worker.runs.empty() || !worker.IsCold(now))
       load.free += static_cast<double>(worker.FreeCapacity().millicores);
@@ -654,7 +654,7 @@
   for (const auto& [id, worker] : workers_) {
     if (are_starts_held_ || !worker.CanStart(timing_, now))
       continue;
-    load.capacity_millicores += worker.entry.capacity.millicores;
+    load.capacity_millicores += worker.Capacity().millicores;
     load.free_millicores += worker.FreeCapacity().millicores;
   }
   for (const QueueKey& key : queue_) {
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -282,8 +282,10 @@
       NoteLoss(worker, LossEvidence::kRestarted, now);
     }
     worker.has_report = false;
+    worker.reported_capacity.reset();
   }
   worker.incarnation = report.incarnation;
+  ReadCapacity(worker, report, now);
   const Time made_at = worker.ReadReportTime(report.clock_ms, now);
   worker.ReadClock(report.clock_ms, now);
   for (const EndedTask& ended : report.ended) {
@@ -335,6 +337,27 @@
   StopStragglers(worker, made_at, now);
 }
 
+void LeaseDispatcher::ReadCapacity(LeasedWorker& worker,
+                                   const RenewReport& report,
+                                   Time now) {
+  // The last capacity stays in force.
+  if (report.is_capacity_unreadable)
+    ++counters_.unreadable_capacities;
+  // Answers to overlapping renewals may arrive in another order.
+  const bool is_older =
+      worker.has_report && report.clock_ms < worker.report_clock_ms;
+  if (!report.capacity || is_older ||
+      report.capacity == worker.reported_capacity)
+    return;
+  if (*report.capacity !=
+      worker.reported_capacity.value_or(worker.entry.capacity))
+    log_.Write(LogEvent::kWorkerCapacity, now, LogBudget::kState)
+        .Add(LogField::kWorker, worker.entry.id)
+        .Add(LogField::kRoom, report.capacity->millicores)
+        .Add(LogField::kCount, worker.runs.size());
+  worker.reported_capacity = report.capacity;
+}
+
 void LeaseDispatcher::ExcludeWorker(LeasedWorker& worker, Time now) {
   ++counters_.exclusions;
   worker.outcome_health.DidFail(now);
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -76,7 +76,9 @@
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // reading of the worker's clock at `clock_at`
   Time clock_at;
-  bool has_report = false;           // of this incarnation
+  bool has_report = false;  // of this incarnation
+  // Of the last report of this incarnation that named it.
+  std::optional<Resources> reported_capacity;
   std::int64_t report_clock_ms = 0;  // worker's clock in its last report
   Time report_made_at;
   Time lapsed_at;    // all leases granted so far have ended by this time
@@ -103,10 +105,17 @@
   // is not renewed during an outage of the store.
   Time cold_until;
 
+  // The capacity that both the registration and the last report allow: either
+  // of them may be the newer one.
+  Resources Capacity() const {
+    return reported_capacity ? LesserOf(entry.capacity, *reported_capacity)
+                             : entry.capacity;
+  }
+
   // The capacity that no run uses. Runs count until they are known to have
   // ended, and unanswered starts until they can no longer be carried out.
   Resources FreeCapacity() const {
-    Resources free_capacity = entry.capacity;
+    Resources free_capacity = Capacity();
     for (const auto& [task, run] : runs)
       free_capacity -= run.size;
     for (const auto& [task, start] : unsettled_starts)
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -89,7 +90,9 @@
 // not acknowledged yet.
 struct RenewReport {
   std::uint64_t incarnation = 0;
-  std::int64_t clock_ms = 0;  // the worker's own clock
+  std::int64_t clock_ms = 0;          // the worker's own clock
+  std::optional<Resources> capacity;  // may change while the worker runs
+  bool is_capacity_unreadable = false;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
 };
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -165,6 +165,9 @@
   writer.Count("starts_after_loss",
                "Starts of tasks under which a worker was lost",
                counters.starts_after_loss);
+  writer.Count("capacities_unreadable",
+               "Reports of workers with a capacity that can't be read",
+               counters.unreadable_capacities);
   writer.Histogram("request", "Time to the answer of a caller",
                    jobs.counters().request_time);
   writer.Histogram("queue", "Time of a job until its first task starts",
--- a/Libraries/LibSchedule/resources.h
+++ b/Libraries/LibSchedule/resources.h
@@ -1,6 +1,7 @@
 // Resources that a worker has or a task needs.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace mustardbank {
@@ -31,4 +32,11 @@
   }
 };
 
+// The lesser amount of each resource.
+inline Resources LesserOf(const Resources& a, const Resources& b) {
+  return {.millicores = std::min(a.millicores, b.millicores),
+          .memory_mb = std::min(a.memory_mb, b.memory_mb),
+          .accelerators = std::min(a.accelerators, b.accelerators)};
+}
+
 }  // namespace mustardbank
--- a/Libraries/LibSchedule/worker_speeds.cc
+++ b/Libraries/LibSchedule/worker_speeds.cc
@@ -88,9 +88,8 @@
   const auto [it, is_new] = workers_.try_emplace(id);
   Worker& worker = it->second;
   if (!is_new && worker.traits.incarnation == traits.incarnation &&
-      worker.traits.labels == traits.labels &&
-      worker.traits.millicores == traits.millicores)
-    return;
+      worker.traits.labels == traits.labels)
+    return;  // a capacity that changes does not make it another kind
   worker = {.traits = traits, .classes = traits.labels};
   worker.classes.push_back(std::to_string(traits.millicores) + " millicores");
   worker.speed.error = kUnknownError;
--- a/Tests/LibLeaseEntry/worker_protocol_test.cc
+++ b/Tests/LibLeaseEntry/worker_protocol_test.cc
@@ -11,12 +11,18 @@
 
 constexpr std::uint64_t kToken = 7;
 
-platform::RenewReply ReplyWith(const std::string& fields) {
+platform::RenewReply ReplyWith(const std::string& capacity,
+                               int clock_ms = 5000,
+                               int born = 1) {
   return platform::DecodeRenewReply(HttpResponse{
-      .body = R"({"clockMs":5000,"born":1,"running":[],"ended":[])" + fields +
-              "}"});
+      .body = R"({"running":[],"ended":[],"clockMs":)" +
+              std::to_string(clock_ms) + R"(,"born":)" + std::to_string(born) +
+              R"(,"capacity":)" + capacity + "}"});
 }
 
+const std::string kSmall = R"({"cpu":54000,"memMb":100000,"gpu":0})";
+const std::string kLarge = R"({"cpu":96000,"memMb":100000,"gpu":0})";
+
 }  // namespace
 
 // NOLINTNEXTLINE(readability-identifier-naming)
@@ -57,7 +63,40 @@
 
 TEST(WorkerProtocol, starts_fit_into_the_capacity_last_reported) {
   Own(96'000);
-  Renew(ReplyWith(R"(,"capacity":{"cpu":54000,"memMb":100000,"gpu":0})"));
+  Renew(ReplyWith(kSmall));
+  const std::size_t starts = Starts("job", 3);
+  CHECK_EQUAL(2, starts);
+}
+
+TEST(WorkerProtocol, capacity_that_has_grown_again_is_used) {
+  Own(96'000);
+  Renew(ReplyWith(kSmall, 5000));
+  Renew(ReplyWith(kLarge, 6000));
+  const std::size_t starts = Starts("job", 3);
+  CHECK_EQUAL(3, starts);
+}
+
+TEST(WorkerProtocol, report_that_was_overtaken_does_not_restore_the_capacity) {
+  Own(96'000);
+  Renew(ReplyWith(kSmall, 6000));
+  Renew(ReplyWith(kLarge, 5000));
+  const std::size_t starts = Starts("job", 3);
+  CHECK_EQUAL(2, starts);
+}
+
+TEST(WorkerProtocol, restarted_worker_has_its_own_capacity) {
+  Own(96'000);
+  Renew(ReplyWith(kSmall, 6000, /*born=*/1));
+  Renew(ReplyWith(kLarge, 10, /*born=*/2));
+  const std::size_t starts = Starts("job", 3);
+  CHECK_EQUAL(3, starts);
+}
+
+TEST(WorkerProtocol, unreadable_capacity_leaves_the_last_one_in_force) {
+  Own(96'000);
+  Renew(ReplyWith(kSmall, 5000));
+  Renew(ReplyWith(R"("all")", 6000));
+  CHECK_EQUAL(1U, dispatcher.counters().unreadable_capacities);
   const std::size_t starts = Starts("job", 3);
   CHECK_EQUAL(2, starts);
 }
