LibLease: Fail tasks that crash their workers, and run suspects alone

Cause: a run lost with its worker ended `lapsed`, like a run behind a partition, and was queued again without regard to how it ended. Class of fault: a retry that ignores that the request itself may be what fails. Change: CrashHistory (LibSchedule) records which runs a worker had when it was lost. The newest is suspected and runs alone next, on an idle worker that gets nothing else; if that one crashes too, the task is the cause, its job ends `failed`, and tasks that shared its first crash are clear again. A loss counts as a crash if another worker or incarnation answers, or if connections are refused while other workers of the data centre answer; four uncertain losses end a task as well. A job handed in again keeps its records for 60 s; a suspect for which no worker gets free in time is given up before its deadline.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -53,13 +53,14 @@
   kTaskStartFailed,
   kTaskEnded,
   kTaskStopped,
+  kTaskBlamed,
   kAnswered,
   kRequestMalformed,
   kUnexpectedError,
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 42> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 43> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -98,6 +99,7 @@
      "task_start_failed",
      "task_ended",
      "task_stopped",
+     "task_blamed",
      "answered",
      "request_malformed",
      "unexpected_error",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -23,6 +23,7 @@
 #include "LibLease/leased_worker.h"
 #include "LibSchedule/admission.h"
 #include "LibSchedule/caller_timeouts.h"
+#include "LibSchedule/crash_history.h"
 #include "LibSchedule/duration_estimator.h"
 #include "LibSchedule/learned_queues.h"
 #include "LibSchedule/owner_load.h"
@@ -31,6 +32,8 @@
 
 namespace mustardbank {
 
+struct PlacementQuery;
+
 class LeaseDispatcher {
  public:
   LeaseDispatcher(LeaseTiming timing, EventLog& log)
@@ -101,6 +104,8 @@
   OwnerLoad Load(Time now) const;
   const LeaseCounters& counters() const { return counters_; }
   const WorkerSpeeds& speeds() const { return speeds_; }
+  CrashHistory& crashes() { return crashes_; }
+  const CrashHistory& crashes() const { return crashes_; }
 
   // What the runs so far have shown about classes of workers.
   LearnedClasses LearnedWorkers() const { return speeds_.Learned(); }
@@ -151,6 +156,8 @@
     bool was_started = false;  // a start command was issued
     bool is_late = false;      // could not meet its objective on arrival
     bool is_held = false;  // waits as it must leave capacity to other queues
+    bool awaits_lone_worker = false;  // only for tasks that must run alone
+    bool is_hopeless = false;  // such a task can't end before the deadline
   };
 
   // Late jobs come after all others.
@@ -188,6 +195,14 @@
   AdmissionLoad LoadAhead(const Job& job, Time now) const;
   void Schedule(Time now);
   bool StartWaiting(Job& job, Time now);
+  // Starts a task that must not share a worker, if one is free for it. Returns
+  // whether there is still time for it.
+  bool StartAlone(Job& job,
+                  std::size_t index,
+                  const PlacementQuery& query,
+                  Time now);
+  static std::string TaskNameOf(const Job& job, std::size_t index);
+  bool HasCause(const Job& job) const;
   void BlockTasksThatRun(Job& job) const;
   bool IsReady(const Job& job, const Task& task) const;
   // Of the worker's speed, for the log.
@@ -219,8 +234,23 @@
                   Time now);
   void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
-  // Records that the worker was lost with all its runs.
-  void NoteLoss(const LeasedWorker& worker, LossEvidence evidence, Time now);
+  // Logs and records that the worker was lost with all its runs.
+  void NoteLoss(LeasedWorker& worker, LossEvidence evidence, Time now);
+  // Whether the worker's process is gone, as opposed to unreachable.
+  bool HasCrashed(const LeasedWorker& worker) const;
+  void RecordLoss(LeasedWorker& worker, bool is_certain, Time now);
+  // Records crashes before the leases of the runs have lapsed, so that other
+  // processes know of them by then.
+  void RecordCrashes(Time now);
+  void DidOutliveStart(const LeasedRun& run);
+  // The worker that is kept for the task, which may still have other runs. Null
+  // if no worker can be kept now.
+  LeasedWorker* KeepLoneWorker(const std::string& task,
+                               const PlacementQuery& query,
+                               Time now);
+  void ReleaseLoneWorker(const std::string& task);
+  // Releases workers that are kept for tasks that no longer wait for them.
+  void ReleaseIdleLoneWorkers();
   // Ends all runs, since their lease has lapsed. Keeps the capacity of those
   // that may still start.
   void LapseAllRuns(LeasedWorker& worker, Time now);
@@ -273,6 +303,8 @@
   CallerTimeouts caller_timeouts_;
   WorkerSpeeds speeds_;
   Time speeds_fitted_at_;
+  CrashHistory crashes_;
+  std::map<std::string, std::string> lone_workers_;  // by task
   QueueShares shares_;
   bool limits_queues_ = true;
   AnswerTimeout answer_timeout_;  // of starts and stops
--- /dev/null
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -0,0 +1,154 @@
+// Lost workers of LeaseDispatcher: which tasks crash them, and where such tasks
+// are tried again.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "LibLease/lease_dispatcher.h"
+#include "LibLease/placement.h"
+
+namespace mustardbank {
+
+namespace {
+
+// Of the names of tasks in one line of the log.
+constexpr std::size_t kMostLoggedTaskBytes = 200;
+// One in this many usable workers may be kept for a single suspected task.
+constexpr std::size_t kWorkersPerLoneTask = 4;
+
+}  // namespace
+
+void LeaseDispatcher::NoteLoss(LeasedWorker& worker,
+                               LossEvidence evidence,
+                               Time now) {
+  const bool is_certain = evidence == LossEvidence::kReplaced ||
+                          evidence == LossEvidence::kRestarted ||
+                          HasCrashed(worker);
+  RecordLoss(worker, is_certain, now);
+  if (worker.runs.empty())
+    return;
+  ++counters_.workers_lost[static_cast<std::size_t>(evidence)];
+  counters_.runs_lost += worker.runs.size();
+  std::string tasks;
+  for (const auto& [task, run] : worker.runs) {
+    if (const auto job = jobs_.find(run.job); job != jobs_.end())
+      ++job->second.tasks[run.task].lost_workers;
+    if (tasks.size() < kMostLoggedTaskBytes)
+      tasks += (tasks.empty() ? "" : " ") + task;
+  }
+  log_.Write(LogEvent::kWorkerLost, now, LogBudget::kState)
+      .Add(LogField::kWorker, worker.entry.id)
+      .Add(LogField::kCause, kLossEvidenceNames[evidence])
+      .Add(LogField::kAgeMs, now - worker.answered_at)
+      .Add(LogField::kCount, worker.runs.size())
+      .Add(LogField::kReason, tasks);
+}
+
+// A partition that resets connections looks the same, but for all workers of
+// the data centre.
+bool LeaseDispatcher::HasCrashed(const LeasedWorker& worker) const {
+  return worker.phase == WorkerPhase::kDown &&
+         std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+           const LeasedWorker& other = entry.second;
+           return other.entry.data_center == worker.entry.data_center &&
+                  other.phase == WorkerPhase::kHeld &&
+                  other.answered_at > worker.down_since;
+         });
+}
+
+void LeaseDispatcher::RecordLoss(LeasedWorker& worker,
+                                 bool is_certain,
+                                 Time now) {
+  const WorkerLife life = worker.Life();
+  if (worker.lost == life) {
+    if (is_certain)
+      crashes_.Confirm(life);
+    return;
+  }
+  CrashHistory::Crash crash{.life = life,
+                            .has_other_runs = worker.foreign_runs > 0,
+                            .is_certain = is_certain};
+  for (const auto& [task, run] : worker.runs)
+    crash.runs.push_back({.task = task, .started = run.started});
+  for (const auto& [task, start] : worker.unsettled_starts)
+    crash.runs.push_back({.task = task, .started = start.started});
+  if (crash.runs.empty())
+    return;
+  worker.lost = life;
+  for (const std::string& task : crashes_.DidCrash(crash, now)) {
+    ReleaseLoneWorker(task);
+    const auto verdict = crashes_.VerdictOf(task);
+    log_.Write(LogEvent::kTaskBlamed, now, LogBudget::kState)
+        .Add(LogField::kTask, task)
+        .Add(LogField::kWorker, worker.entry.id)
+        .Add(LogField::kCause, kCrashVerdictNames[verdict])
+        .Add(LogField::kLostWorkers, crashes_.CrashesOf(task))
+        .Add(LogField::kCount, crash.runs.size());
+  }
+}
+
+void LeaseDispatcher::RecordCrashes(Time now) {
+  for (auto& [id, worker] : workers_) {
+    if (worker.phase == WorkerPhase::kDown && !worker.runs.empty() &&
+        worker.lost != worker.Life() && HasCrashed(worker))
+      RecordLoss(worker, /*is_certain=*/true, now);
+  }
+}
+
+void LeaseDispatcher::DidOutliveStart(const LeasedRun& run) {
+  if (crashes_.VerdictOf(run.id.task) != CrashHistory::Verdict::kClear)
+    ++counters_.lone_starts_ended;
+  crashes_.DidEnd(run.id.task);
+}
+
+LeasedWorker* LeaseDispatcher::KeepLoneWorker(const std::string& task,
+                                              const PlacementQuery& query,
+                                              Time now) {
+  if (const auto it = lone_workers_.find(task); it != lone_workers_.end()) {
+    const auto worker = workers_.find(it->second);
+    if (worker != workers_.end() && worker->second.lone_task == task &&
+        worker->second.IsAvailable(timing_, now, query.is_job_started))
+      return &worker->second;
+    ReleaseLoneWorker(task);
+  }
+  const auto usable = static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        return entry.second.IsAvailable(timing_, now, false);
+      }));
+  if (lone_workers_.size() >=
+      std::max<std::size_t>(1, usable / kWorkersPerLoneTask))
+    return nullptr;
+  LeasedWorker* worker = ChooseLoneWorker(workers_, query, now);
+  if (!worker)
+    return nullptr;
+  worker->lone_task = task;
+  lone_workers_[task] = worker->entry.id;
+  return worker;
+}
+
+void LeaseDispatcher::ReleaseLoneWorker(const std::string& task) {
+  const auto it = lone_workers_.find(task);
+  if (it == lone_workers_.end())
+    return;
+  const auto worker = workers_.find(it->second);
+  if (worker != workers_.end() && worker->second.lone_task == task)
+    worker->second.lone_task.clear();
+  lone_workers_.erase(it);
+  schedule_due_ = true;
+}
+
+void LeaseDispatcher::ReleaseIdleLoneWorkers() {
+  std::vector<std::string> released;
+  for (const auto& [task, worker] : lone_workers_) {
+    const auto job = jobs_.find(std::string(JobOf(task)));
+    const auto it = workers_.find(worker);
+    const bool runs = it != workers_.end() && it->second.runs.contains(task);
+    if (!runs && (job == jobs_.end() || job->second.waiting == 0 ||
+                  crashes_.VerdictOf(task) != CrashHistory::Verdict::kSuspect))
+      released.push_back(task);
+  }
+  for (const std::string& task : released)
+    ReleaseLoneWorker(task);
+}
+
+}  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -81,10 +81,14 @@
   }
   job.chains_after = ChainsAfter(job.request, job.run_times);
   job.waiting = job.tasks.size();
+  const bool has_cause = HasCause(job);
   BlockTasksThatRun(job);
   Estimate(job, now);
   shares_.DidArrive(job.request, job.estimate, UsableCapacity(), now);
-  const std::optional<JobResult> refusal = CheckAdmission(job, now);
+  const std::optional<JobResult> refusal =
+      has_cause ? JobResult{.outcome = JobOutcome::kFailed,
+                            .cause = JobCause::kCrashesWorkers}
+                : CheckAdmission(job, now);
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
   if (refusal) {
     Finish(id, *refusal, now);
@@ -272,7 +276,8 @@
 
 bool LeaseDispatcher::FitsNow(const Job& job, Time now) const {
   if (std::any_of(queue_.begin(), queue_.end(), [&](const QueueKey& key) {
-        return !jobs_.at(key.job).is_held;
+        const Job& queued = jobs_.at(key.job);
+        return !queued.is_held && !queued.awaits_lone_worker;
       }))
     return false;
   // Only the first group is checked: it starts now, and most jobs have groups
@@ -344,7 +349,9 @@
   if (are_starts_held_)
     return;
   schedule_due_ = false;
+  ReleaseIdleLoneWorkers();
   std::vector<QueueKey> emptied;
+  std::vector<std::string> hopeless;
   std::optional<QueueUses> running;  // empty after a change
   for (const QueueKey& key : queue_) {
     Job& job = jobs_.at(key.job);
@@ -361,41 +368,86 @@
       running.reset();
     if (!is_waiting)
       emptied.push_back(key);
+    if (job.is_hopeless)
+      hopeless.push_back(key.job);
   }
   for (const QueueKey& key : emptied)
     queue_.erase(key);
+  for (const std::string& job : hopeless)
+    Cancel(job, JobCause::kRunsLost, now);
 }
 
 // Returns whether tasks are still waiting.
 bool LeaseDispatcher::StartWaiting(Job& job, Time now) {
+  job.awaits_lone_worker = false;
   for (std::size_t i = 0; i < job.tasks.size() && job.waiting > 0; ++i) {
     const Task& task = job.tasks[i];
     if (!IsReady(job, task))
       continue;
     const TaskGroup& group = job.request.groups[task.group];
-    LeasedWorker* worker = ChooseWorker(
-        workers_,
-        {.group = group,
-         .service = job.request.policy.service,
-         .job = job.request.id,
-         .avoided = task.avoided,
-         .timing = timing_,
-         .speeds = speeds_,
-         .run_time = LongestRun(job.run_times[task.group], group.count),
-         .latest_run_time = LatestRunTime(job, task.group, now),
-         .is_job_started = job.was_started},
-        now);
-    if (!worker)
-      break;
+    const PlacementQuery query{
+        .group = group,
+        .service = job.request.policy.service,
+        .job = job.request.id,
+        .avoided = task.avoided,
+        .timing = timing_,
+        .speeds = speeds_,
+        .run_time = LongestRun(job.run_times[task.group], group.count),
+        .latest_run_time = LatestRunTime(job, task.group, now),
+        .is_job_started = job.was_started};
+    if (!crashes_.empty() && crashes_.VerdictOf(TaskNameOf(job, i)) !=
+                                 CrashHistory::Verdict::kClear) {
+      job.is_hopeless = !StartAlone(job, i, query, now);
+      if (job.is_hopeless)
+        break;
+      continue;
+    }
+    LeasedWorker* worker = ChooseWorker(workers_, query, now);
     // The job's other tasks would wait as well. Judging each of them is too
     // dear for owners with a tenth of a core.
-    if (IsWorthWaiting(job, task, *worker, now))
+    if (!worker || IsWorthWaiting(job, task, *worker, now)) {
+      job.awaits_lone_worker = false;
       break;
+    }
     StartTask(job, i, *worker, now);
   }
   return job.waiting > 0;
 }
 
+bool LeaseDispatcher::StartAlone(Job& job,
+                                 std::size_t index,
+                                 const PlacementQuery& query,
+                                 Time now) {
+  LeasedWorker* worker = KeepLoneWorker(TaskNameOf(job, index), query, now);
+  if (worker && worker->IsIdle() && worker->unsettled_starts.empty()) {
+    ++counters_.lone_starts;
+    StartTask(job, index, *worker, now);
+    return true;
+  }
+  job.awaits_lone_worker = true;
+  return now + query.run_time < job.request.deadline;
+}
+
+std::string LeaseDispatcher::TaskNameOf(const Job& job, std::size_t index) {
+  // The tasks of each group are numbered from zero.
+  const std::size_t group = job.tasks[index].group;
+  std::size_t first = 0;
+  for (std::size_t g = 0; g < group; ++g)
+    first += job.request.groups[g].count;
+  return job.request.id + ".0." + std::to_string(group) + '.' +
+         std::to_string(index - first);
+}
+
+bool LeaseDispatcher::HasCause(const Job& job) const {
+  if (crashes_.empty())
+    return false;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    if (crashes_.VerdictOf(TaskNameOf(job, i)) == CrashHistory::Verdict::kCause)
+      return true;
+  }
+  return false;
+}
+
 bool LeaseDispatcher::IsWorthWaiting(const Job& job,
                                      const Task& task,
                                      const LeasedWorker& here,
@@ -446,13 +498,7 @@
                                 Time now) {
   Task& task = job.tasks[index];
   const TaskGroup& group = job.request.groups[task.group];
-  // In task names, the tasks of each group are numbered from zero.
-  std::size_t first = 0;
-  for (std::size_t g = 0; g < task.group; ++g)
-    first += job.request.groups[g].count;
-  RunId run{.task = job.request.id + ".0." + std::to_string(task.group) + '.' +
-                    std::to_string(index - first),
-            .number = task.next_run++};
+  RunId run{.task = TaskNameOf(job, index), .number = task.next_run++};
   task.state = TaskState::kLive;
   if (!job.was_started)
     counters_.queue_time.Observe(now - job.request.arrived);
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -26,8 +26,6 @@
 constexpr Duration kRestartCost = std::chrono::milliseconds(60);
 // Restarts of a task, for any cause, before its job is given up.
 constexpr std::uint32_t kMostRestarts = 6;
-// Of the names of tasks in one line of the log.
-constexpr std::size_t kMostLoggedTaskBytes = 200;
 
 // The total duration of a run that continues at its average speed so far.
 Duration ProjectTotal(const LeasedRun& run, Time now) {
@@ -56,28 +54,6 @@
     EndRun(worker, worker.runs.begin()->first, end, now);
 }
 
-void LeaseDispatcher::NoteLoss(const LeasedWorker& worker,
-                               LossEvidence evidence,
-                               Time now) {
-  if (worker.runs.empty())
-    return;
-  ++counters_.workers_lost[static_cast<std::size_t>(evidence)];
-  counters_.runs_lost += worker.runs.size();
-  std::string tasks;
-  for (const auto& [task, run] : worker.runs) {
-    if (const auto job = jobs_.find(run.job); job != jobs_.end())
-      ++job->second.tasks[run.task].lost_workers;
-    if (tasks.size() < kMostLoggedTaskBytes)
-      tasks += (tasks.empty() ? "" : " ") + task;
-  }
-  log_.Write(LogEvent::kWorkerLost, now, LogBudget::kState)
-      .Add(LogField::kWorker, worker.entry.id)
-      .Add(LogField::kCause, kLossEvidenceNames[evidence])
-      .Add(LogField::kAgeMs, now - worker.answered_at)
-      .Add(LogField::kCount, worker.runs.size())
-      .Add(LogField::kReason, tasks);
-}
-
 void LeaseDispatcher::LapseAllRuns(LeasedWorker& worker, Time now) {
   NoteLoss(worker,
            worker.phase == WorkerPhase::kDown ? LossEvidence::kRefusedConnection
@@ -85,7 +61,8 @@
            now);
   for (const auto& [task, run] : worker.runs) {
     if (!run.was_seen)
-      worker.unsettled_starts[task] = {.id = run.id, .size = run.size};
+      worker.unsettled_starts[task] = {
+          .id = run.id, .started = run.started, .size = run.size};
   }
   EndAllRuns(worker, RunEnd::kLapsed, now);
 }
@@ -114,6 +91,9 @@
   schedule_due_ = true;
   ++counters_.ends[static_cast<std::size_t>(end)];
   Unblock(run);
+  ReleaseLoneWorker(run.id.task);
+  if (end == RunEnd::kDone || end == RunEnd::kFailed)
+    DidOutliveStart(run);
   const auto job_it = jobs_.find(run.job);
   log_.Write(LogEvent::kTaskEnded, now)
       .Add(LogField::kJob, run.job)
@@ -149,6 +129,12 @@
            now);
     return;
   }
+  if (crashes_.VerdictOf(run.id.task) == CrashHistory::Verdict::kCause) {
+    Finish(run.job,
+           {.outcome = JobOutcome::kFailed, .cause = JobCause::kCrashesWorkers},
+           now);
+    return;
+  }
   if (++task.restarts > kMostRestarts) {
     Finish(run.job,
            {.outcome = JobOutcome::kGivenUp, .cause = JobCause::kRunsLost},
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -251,6 +251,8 @@
 // Nothing listens at the worker's address, or a network partition resets the
 // connections to it. Its tasks may continue until their lease has lapsed.
 void LeaseDispatcher::DidFindDown(LeasedWorker& worker, Time now) {
+  if (worker.phase != WorkerPhase::kDown)
+    worker.down_since = now;
   SetPhase(worker, WorkerPhase::kDown, now);
   worker.next_renewal_at = now + timing_.down_probe_interval;
 }
@@ -259,9 +261,9 @@
 // tasks is gone, so its runs have ended.
 void LeaseDispatcher::DidFindReplaced(LeasedWorker& worker, Time now) {
   DidFindDown(worker, now);
+  NoteLoss(worker, LossEvidence::kReplaced, now);
   worker.foreign_runs = 0;
   worker.unsettled_starts.clear();
-  NoteLoss(worker, LossEvidence::kReplaced, now);
   EndAllRuns(worker, RunEnd::kLapsed, now);
 }
 
@@ -285,6 +287,10 @@
     worker.reported_capacity.reset();
   }
   worker.incarnation = report.incarnation;
+  if (worker.lost == worker.Life()) {
+    crashes_.Withdraw(worker.Life());
+    worker.lost.reset();
+  }
   ReadCapacity(worker, report, now);
   const Time made_at = worker.ReadReportTime(report.clock_ms, now);
   worker.ReadClock(report.clock_ms, now);
@@ -511,6 +517,7 @@
     if (NeedsRenewal(worker, now))
       SendRenewal(worker, now);
   }
+  RecordCrashes(now);
   if (now - speeds_fitted_at_ >= kSpeedsInterval) {
     speeds_fitted_at_ = now;
     speeds_.Fit();
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -11,6 +11,7 @@
 #include "LibLease/commands.h"
 #include "LibLease/lease_timing.h"
 #include "LibLease/worker_report.h"
+#include "LibSchedule/crash_history.h"
 #include "LibSchedule/outcome_health.h"
 #include "LibSchedule/resources.h"
 
@@ -48,6 +49,7 @@
 // restarted unnoticed by then has another clock and may still carry it out.
 struct UnsettledStart {
   RunId id;
+  Time started;
   Resources size;
   bool stop_in_flight = false;
   Time stop_again;  // earliest time of the next stop command
@@ -97,6 +99,11 @@
   std::map<std::string, UnsettledStart> unsettled_starts;  // by task
   std::size_t foreign_runs = 0;  // runs not started by this owner
   OutcomeHealth outcome_health;
+  // A task that must not share the worker runs here, or will once the other
+  // runs have ended.
+  std::string lone_task;
+  Time down_since;                 // while nothing listens at its address
+  std::optional<WorkerLife> lost;  // the life that was recorded as lost
   // Its data centre is evacuated. Tasks of jobs that have started may still
   // start here before `last_starts_until`.
   bool is_evacuated = false;
@@ -130,6 +137,13 @@
   bool CanStart(const LeaseTiming& timing,
                 Time now,
                 bool is_job_started = false) const {
+    return lone_task.empty() && IsAvailable(timing, now, is_job_started);
+  }
+
+  // Whether a task may start, but for a task that the worker is kept for.
+  bool IsAvailable(const LeaseTiming& timing,
+                   Time now,
+                   bool is_job_started) const {
     if (is_evacuated && !(is_job_started && now < last_starts_until))
       return false;
     // A cold worker warms up with one task at a time.
@@ -149,6 +163,11 @@
     return false;
   }
 
+  WorkerLife Life() const {
+    return WorkerLifeOf(entry.id,
+                        incarnation != 0 ? incarnation : entry.incarnation);
+  }
+
   bool IsIdle() const { return runs.empty() && foreign_runs == 0; }
 
   // Returns the end of a lease that begins now, on the worker's clock. Also
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -1,6 +1,7 @@
 #include "LibLease/placement.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include "LibSchedule/placement_choice.h"
@@ -61,4 +62,28 @@
   return choice ? usable[*choice] : nullptr;
 }
 
+LeasedWorker* ChooseLoneWorker(std::map<std::string, LeasedWorker>& workers,
+                               const PlacementQuery& query,
+                               Time now) {
+  LeasedWorker* chosen = nullptr;
+  std::tuple<bool, Time, std::int64_t> chosen_rank;
+  for (auto& [id, worker] : workers) {
+    if (!worker.lone_task.empty() ||
+        !worker.IsAvailable(query.timing, now, query.is_job_started) ||
+        !IsAllowed(worker, query) ||
+        !query.group.each.FitsIn(worker.Capacity()))
+      continue;
+    Time free_at = now;
+    for (const auto& [task, run] : worker.runs)
+      free_at = std::max(free_at, run.started + run.expected);
+    const std::tuple rank(id == query.avoided, free_at,
+                          worker.Capacity().millicores);
+    if (chosen && rank >= chosen_rank)
+      continue;
+    chosen = &worker;
+    chosen_rank = rank;
+  }
+  return chosen;
+}
+
 }  // namespace mustardbank
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -29,4 +29,10 @@
                            const PlacementQuery& query,
                            Time now);
 
+// The worker that can run the task alone the soonest. It may have runs that
+// must end first. Null if no worker can be kept for the task.
+LeasedWorker* ChooseLoneWorker(std::map<std::string, LeasedWorker>& workers,
+                               const PlacementQuery& query,
+                               Time now);
+
 }  // namespace mustardbank
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -168,6 +168,14 @@
   writer.Count("capacities_unreadable",
                "Reports of workers with a capacity that can't be read",
                counters.unreadable_capacities);
+  writer.Gauge("crash_records", "Crashes of workers remembered under tasks",
+               static_cast<double>(control.dispatcher().crashes().size()));
+  writer.Count("crash_causes", "Tasks found to crash their workers",
+               control.dispatcher().crashes().causes());
+  writer.Count("lone_starts", "Starts of suspected tasks, alone on a worker",
+               counters.lone_starts);
+  writer.Count("lone_starts_ended", "Of these, runs that ended without a crash",
+               counters.lone_starts_ended);
   writer.Histogram("request", "Time to the answer of a caller",
                    jobs.counters().request_time);
   writer.Histogram("queue", "Time of a job until its first task starts",
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -260,7 +260,14 @@
 // Earlier builds take an answer with an unknown cause for an owner that failed,
 // and would not try another one.
 JobCause NameForEarlierBuilds(JobCause cause) {
-  return cause == JobCause::kEvacuated ? JobCause::kHandedOver : cause;
+  switch (cause) {
+    case JobCause::kEvacuated:
+      return JobCause::kHandedOver;
+    case JobCause::kCrashesWorkers:
+      return JobCause::kTaskFailed;
+    default:
+      return cause;
+  }
 }
 
 std::optional<std::string> KeyAfter(const StoreRow& row,
--- a/Libraries/LibSchedule/job.h
+++ b/Libraries/LibSchedule/job.h
@@ -85,21 +85,22 @@
   kUnsupported,  // the request uses a feature that is not supported
   kNoConfiguration,
   kNoQueue,
-  kOwnerSilent,  // the VM that ran the job stopped answering
-  kNoOwner,      // no VM that owns workers can be reached
-  kLeaving,      // this VM stops before the job would end
-  kEvacuated,    // the operator evacuates the data centre of the workers
-  kOverShare,    // a burst of its queue must leave other queues their shares
+  kOwnerSilent,     // the VM that ran the job stopped answering
+  kNoOwner,         // no VM that owns workers can be reached
+  kLeaving,         // this VM stops before the job would end
+  kEvacuated,       // the operator evacuates the data centre of the workers
+  kOverShare,       // a burst of its queue must leave other queues their shares
+  kCrashesWorkers,  // workers crashed under one of its tasks
 };
 
-inline constexpr EnumNames<JobCause, 20> kJobCauseNames{
+inline constexpr EnumNames<JobCause, 21> kJobCauseNames{
     {"none",         "task_failed",      "runs_lost",
      "no_room",      "waited_too_long",  "never_fits",
      "not_owner",    "handed_over",      "deadline",
      "cancelled",    "ownership_lost",   "home_silent",
      "unsupported",  "no_configuration", "no_queue",
      "owner_silent", "no_owner",         "leaving",
-     "evacuated",    "over_share"}};
+     "evacuated",    "over_share",       "crashes_workers"}};
 
 struct JobResult {
   JobOutcome outcome = JobOutcome::kRefused;
