LibLeaseEntry: Keep records of crashes in the store

Cause: which workers a task has crashed was known to one dispatcher only. A job that its caller hands in again, at another VM or after a kill, began with no record and crashed two more workers each time; a process that started again had forgotten all of them. Change: records of suspects and causes are rows of the shared table, which all VMs follow and read in full at their start. A record holds the same whoever writes it, so that no condition is needed; those of a task that is cleared are removed, those of a VM that is gone are removed by the VM that reads the list of workers. Records that did not come back from the store yet go out with heartbeats, so that a VM cut off from the store can tell its peers.

--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -9,6 +9,7 @@
 #include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 #include "LibLease/lease_dispatcher.h"
+#include "LibSchedule/crash_history.h"
 #include "LibSchedule/evacuations.h"
 
 namespace mustardbank {
@@ -69,6 +70,10 @@
   std::vector<std::string> silent_owners;
   // Evacuations that the sender knows. Earlier builds send none.
   EvacuationTable evacuations;
+  // Crashes that the sender found and that did not come back from the store.
+  std::vector<CrashRecord> crashes;
+
+  static constexpr std::size_t kMostCrashes = 12;
 };
 
 // The sender's status of a shard. Null if it does not own the shard.
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -283,6 +283,8 @@
   DetectPause(now);
   ownership_.DidReceiveHeartbeat(heartbeat, now);
   router_.DidReport(heartbeat.name);
+  for (const CrashRecord& record : heartbeat.crashes)
+    dispatcher_.crashes().Learn(record, now);
   const bool was_awaited = AwaitsOperatorTable();
   DidChangeEvacuations(evacuations_.Merge(heartbeat.evacuations, now),
                        heartbeat.name, Time::min(), now);
@@ -294,6 +296,7 @@
   Heartbeat heartbeat = ownership_.MakeHeartbeat(
       dispatcher_.Load(now), configuration_.version, interval, now);
   heartbeat.evacuations = evacuations_.Shared(now);
+  heartbeat.crashes = dispatcher_.crashes().Unstored(Heartbeat::kMostCrashes);
   return heartbeat;
 }
 
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -17,6 +17,7 @@
 
 constexpr std::string_view kMemberPrefix = "member/";
 constexpr std::string_view kShardPrefix = "shard/";
+constexpr std::string_view kCrashPrefix = "crash/";
 constexpr std::string_view kShardCountPrefix = "shard_count/";
 // Of one row of learned queues. The platform takes 64 KiB, in base64.
 constexpr std::size_t kMostLearnedBytes = 45'000;
@@ -188,6 +189,40 @@
   return evacuations;
 }
 
+json::object ToJson(const CrashRecord& record) {
+  return {{"role", kCrashRoleNames[record.role]},
+          {"certain", record.is_certain}};
+}
+
+// Completes a record that has the fields of its key.
+void ReadCrash(const json::object& object, CrashRecord& record) {
+  record.role = kCrashRoleNames.Find(Text(object, "role")).value();
+  record.is_certain = object.at("certain").as_bool();
+}
+
+json::array ToJson(const std::vector<CrashRecord>& crashes) {
+  json::array array;
+  for (const CrashRecord& record : crashes) {
+    json::object object = ToJson(record);
+    object["key"] = CrashKey(record.task, record.life);
+    array.push_back(std::move(object));
+  }
+  return array;
+}
+
+std::vector<CrashRecord> ToCrashes(const json::array& array) {
+  std::vector<CrashRecord> crashes;
+  for (const json::value& value : array) {
+    if (crashes.size() == Heartbeat::kMostCrashes)
+      break;
+    CrashRecord record = ParseCrashKey(Text(value.as_object(), "key")).value();
+    Require(record.task.size() <= kMostIdBytes);
+    ReadCrash(value.as_object(), record);
+    crashes.push_back(std::move(record));
+  }
+  return crashes;
+}
+
 json::object ToJson(const TaskGroup& group) {
   json::object object{{"count", group.count},
                       {"millicores", group.each.millicores},
@@ -295,6 +330,8 @@
                       {"hears", json::array()}};
   if (!heartbeat.evacuations.empty())
     object["evacuations"] = ToJson(heartbeat.evacuations);
+  if (!heartbeat.crashes.empty())
+    object["crashes"] = ToJson(heartbeat.crashes);
   AddLoad(heartbeat.load, object);
   return json::serialize(object);
 }
@@ -321,6 +358,8 @@
     if (object.contains("evacuations"))
       heartbeat.evacuations =
           ToEvacuations(object.at("evacuations").as_array());
+    if (object.contains("crashes"))
+      heartbeat.crashes = ToCrashes(object.at("crashes").as_array());
     return heartbeat;
   });
 }
@@ -601,6 +640,29 @@
   });
 }
 
+RowChange EncodeCrash(const CrashHistory::Change& change) {
+  return {.table = kSharedTable,
+          .key = std::string(kCrashPrefix) +
+                 CrashKey(change.record.task, change.record.life),
+          .value = json::serialize(ToJson(change.record)),
+          .is_removal = change.is_removal};
+}
+
+bool HoldsCrash(const StoreRow& row) {
+  return row.key.starts_with(kCrashPrefix);
+}
+
+std::optional<CrashRecord> DecodeCrash(const StoreRow& row) {
+  const auto key = KeyAfter(row, kCrashPrefix);
+  auto record = key ? ParseCrashKey(*key) : std::nullopt;
+  if (!record || record->task.size() > kMostIdBytes || row.deleted)
+    return record;
+  return Decode<CrashRecord>(row.value, [&](const json::object& object) {
+    ReadCrash(object, *record);
+    return *record;
+  });
+}
+
 std::string MemberNameOf(const StoreRow& row) {
   return KeyAfter(row, kMemberPrefix).value_or("");
 }
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -9,6 +9,7 @@
 #include "LibLease/ownership.h"
 #include "LibLease/row_store.h"
 #include "LibLease/shard.h"
+#include "LibSchedule/crash_history.h"
 #include "LibSchedule/job.h"
 #include "LibSchedule/learned_classes.h"
 #include "LibSchedule/learned_queues.h"
@@ -82,6 +83,13 @@
 bool HoldsLearnedClasses(const StoreRow& row);
 std::optional<LearnedClasses> DecodeLearnedClasses(const StoreRow& row);
 
+// Rows of crashes are written by any VM, and hold the same wherever they come
+// from. Builds that don't know them log them as unreadable.
+RowChange EncodeCrash(const CrashHistory::Change& change);
+bool HoldsCrash(const StoreRow& row);
+// The role is missing if the row was removed.
+std::optional<CrashRecord> DecodeCrash(const StoreRow& row);
+
 // Empty if the row holds another kind of record or is malformed.
 std::optional<MemberRecord> DecodeMember(const StoreRow& row);
 std::optional<ShardRecord> DecodeShard(const StoreRow& row);
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -84,6 +84,7 @@
   RunLoop("workers", [this] { ReadWorkers(); });
   RunLoop("recall", [this] { RecallLearned(); });
   RunLoop("learned", [this] { KeepLearned(); });
+  RunLoop("crashes", [this] { KeepCrashes(); });
 }
 
 void StoreLoop::RunLoop(std::string_view name, std::function<void()> loop) {
@@ -332,6 +333,52 @@
   }
 }
 
+void StoreLoop::KeepCrashes() {
+  while (true) {
+    SleepFiber(kIdlePoll);
+    CrashHistory& crashes = control_.dispatcher().crashes();
+    const Time now = BootClock::now();
+    crashes.Expire(control_.ownership().OwnsAny() &&
+                       IsListReader(control_.ownership(), now),
+                   now);
+    const auto changes =
+        crashes.TakeChanges(platform::RowStoreClient::kMostChanges);
+    if (changes.empty())
+      continue;
+    std::vector<RowChange> rows;
+    for (const CrashHistory::Change& change : changes)
+      rows.push_back(EncodeCrash(change));
+    const auto written = store_.Change(rows, kCallTimeout);
+    DidCall(written);
+    if (written)
+      continue;
+    // Changes that the store can't read would hold up all later ones.
+    if (written.error().failure == StoreFailure::kMalformed)
+      control_.log()
+          .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
+                 LogBudget::kState)
+          .Add(LogField::kCount, changes.size())
+          .Add(LogField::kReason, "crashes: " + written.error().reason);
+    else
+      crashes.ReturnChanges(changes);
+    SleepFiber(kRetryDelay);
+  }
+}
+
+void StoreLoop::ApplyCrashRow(const StoreRow& row) {
+  CrashHistory& crashes = control_.dispatcher().crashes();
+  const Time now = BootClock::now();
+  const auto record = DecodeCrash(row);
+  if (!record)
+    control_.log()
+        .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
+        .Add(LogField::kReason, row.key);
+  else if (row.deleted)
+    crashes.Unlearn(record->task, record->life);
+  else
+    crashes.Learn(*record, now);
+}
+
 void StoreLoop::AnnounceMember() {
   if (is_announcing_)
     return;
@@ -383,7 +430,9 @@
 
 void StoreLoop::ApplySharedRow(const StoreRow& row) {
   const Time now = BootClock::now();
-  if (MemberNameOf(row) == self_.name) {
+  if (HoldsCrash(row)) {
+    ApplyCrashRow(row);
+  } else if (MemberNameOf(row) == self_.name) {
     ApplyOwnRow(row);
   } else if (row.deleted) {
     control_.ownership().DidDropMember(MemberNameOf(row));
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -67,6 +67,10 @@
   bool RecallRow(const StoreRow& row);
   // Writes what the processes of the data centre learn, now and then.
   void KeepLearned();
+  // Stores which tasks are suspected of crashes, for other VMs and for
+  // processes that start later.
+  void KeepCrashes();
+  void ApplyCrashRow(const StoreRow& row);
   // Writes this VM's record, retrying until the store has it.
   void AnnounceMember();
   void ApplyOwnRow(const StoreRow& row);
--- a/Libraries/LibSchedule/crash_history.cc
+++ b/Libraries/LibSchedule/crash_history.cc
@@ -1,6 +1,7 @@
 #include "LibSchedule/crash_history.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -27,6 +28,23 @@
   return FastDigest(worker, incarnation);
 }
 
+std::string CrashKey(const std::string& task, WorkerLife life) {
+  return task + '/' + std::to_string(life);
+}
+
+std::optional<CrashRecord> ParseCrashKey(std::string_view key) {
+  const std::size_t slash = key.rfind('/');
+  if (slash == std::string_view::npos || slash == 0)
+    return std::nullopt;
+  CrashRecord record{.task = std::string(key.substr(0, slash))};
+  const char* const end = key.data() + key.size();
+  const auto [rest, error] =
+      std::from_chars(key.data() + slash + 1, end, record.life);
+  if (error != std::errc() || rest != end)
+    return std::nullopt;
+  return record;
+}
+
 CrashHistory::Verdict CrashHistory::VerdictOf(const Entries& entries) {
   std::size_t crashes = 0;
   bool was_alone = false;
@@ -98,6 +116,7 @@
     if (it == entries.end() || it->second.is_certain)
       continue;
     it->second.is_certain = true;
+    it->second.is_sent = false;
     it->second.is_stored = false;
     MarkTask(task);
   }
@@ -126,7 +145,7 @@
   if (VerdictOf(entries) == Verdict::kClear)
     return;
   for (const auto& [life, entry] : entries) {
-    if (!entry.is_stored)
+    if (!entry.is_sent && !entry.is_stored)
       changed_.emplace(task, life);
   }
 }
@@ -138,7 +157,7 @@
   const auto entry = it->second.find(life);
   if (entry == it->second.end())
     return;
-  if (entry->second.is_stored)
+  if (entry->second.is_sent || entry->second.is_stored)
     changed_.emplace(task, life);
   else
     changed_.erase({task, life});
@@ -205,8 +224,10 @@
   if (it == tasks_.end())
     return;
   const auto entry = it->second.find(life);
-  if (entry == it->second.end())
+  // A record that is still to be stored is newer than the removal.
+  if (entry == it->second.end() || changed_.contains({task, life}))
     return;
+  entry->second.is_sent = false;
   entry->second.is_stored = false;
   Erase(task, life);
 }
@@ -223,8 +244,7 @@
         change.record.role = entry->second.role;
         change.record.is_certain = entry->second.is_certain;
         change.is_removal = false;
-        // From now on, its end must be stored as well.
-        entry->second.is_stored = true;
+        entry->second.is_sent = true;
       }
     }
     changes.push_back(std::move(change));
@@ -239,18 +259,16 @@
 
 std::vector<CrashRecord> CrashHistory::Unstored(std::size_t most) const {
   std::vector<CrashRecord> records;
-  for (const auto& [task, life] : changed_) {
-    if (records.size() == most)
-      break;
-    const auto it = tasks_.find(task);
-    if (it == tasks_.end())
+  for (const auto& [task, entries] : tasks_) {
+    if (VerdictOf(entries) == Verdict::kClear)
       continue;
-    const auto entry = it->second.find(life);
-    if (entry != it->second.end())
-      records.push_back({.task = task,
-                         .life = life,
-                         .role = entry->second.role,
-                         .is_certain = entry->second.is_certain});
+    for (const auto& [life, entry] : entries) {
+      if (entry.is_own && !entry.is_stored && records.size() < most)
+        records.push_back({.task = task,
+                           .life = life,
+                           .role = entry.role,
+                           .is_certain = entry.is_certain});
+    }
   }
   return records;
 }
--- a/Libraries/LibSchedule/crash_history.h
+++ b/Libraries/LibSchedule/crash_history.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -48,6 +49,11 @@
   bool operator==(const CrashRecord&) const = default;
 };
 
+// Task and worker's life of a record, as one text.
+std::string CrashKey(const std::string& task, WorkerLife life);
+// Empty if the text is no such key. The record has no role.
+std::optional<CrashRecord> ParseCrashKey(std::string_view key);
+
 class CrashHistory {
  public:
   enum class Verdict {
@@ -91,11 +97,12 @@
   // Records of other processes.
   void Learn(const CrashRecord& record, Time now);
   void Unlearn(const std::string& task, WorkerLife life);
-  // Takes the changes that are not known to be stored, of at most `most`
-  // records. The caller returns those that it could not store.
+  // Takes changes to store, of at most `most` records. The caller returns those
+  // that it could not store.
   std::vector<Change> TakeChanges(std::size_t most);
   void ReturnChanges(const std::vector<Change>& changes);
-  // Records that are not known to be stored, at most `most`.
+  // Own records of suspects that did not come back from the store yet, at most
+  // `most`.
   std::vector<CrashRecord> Unstored(std::size_t most) const;
 
   // Drops records older than the time for which jobs can come again. Records of
@@ -118,7 +125,8 @@
     bool is_certain = true;
     Time added;
     bool is_own = false;
-    bool is_stored = false;
+    bool is_sent = false;    // to the store
+    bool is_stored = false;  // came back from the store
   };
   using Entries = std::map<WorkerLife, Entry>;
   using Key = std::pair<std::string, WorkerLife>;
--- a/Tests/Harness/lease_deployment.h
+++ b/Tests/Harness/lease_deployment.h
@@ -42,7 +42,8 @@
   bool WaitUntilReady(std::chrono::milliseconds timeout);
 
   // Submits a job of tasks that each take `millicores` for `run_ms`. `max_wait`
-  // is sent as the deadline of the job. With the outcome "fail" the tasks fail.
+  // is sent as the deadline of the job. With the outcome "fail" the tasks fail,
+  // with "crash" they crash their workers.
   CallerAnswer Submit(int entry,
                       const std::string& id,
                       int tasks,
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -190,6 +190,26 @@
                          .status);
 }
 
+TEST(LeaseProcess, tasks_that_crash_workers_are_known_after_a_restart_of_all) {
+  constexpr milliseconds kInStore{500};
+  const auto submit = [&](int entry) {
+    const CallerAnswer answer = deployment.Submit(entry, IdOf(1), 1, 20'000, 50,
+                                                  kCallerTimeout, "crash");
+    CHECK_EQUAL(200, answer.status);
+    CHECK_EQUAL(std::string(R"({"state":"failed"})"), answer.body);
+    CHECK_EQUAL(2, deployment.StartsOf(IdOf(1)));
+  };
+  submit(0);
+  std::this_thread::sleep_for(kInStore);
+  for (int entry = 0; entry < deployment.entry_count(); ++entry)
+    deployment.entry(entry).Signal(SIGKILL);
+  for (int entry = 0; entry < deployment.entry_count(); ++entry)
+    deployment.StartEntry(entry);
+  CHECK(deployment.WaitUntilReady(kReady));
+  for (int entry = 0; entry < deployment.entry_count(); ++entry)
+    submit(entry);
+}
+
 TEST(LeaseProcess, killed_owner_is_succeeded) {
   deployment.entry(0).Signal(SIGKILL);
   unsigned status = 0;
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -188,12 +188,13 @@
                    .is_released = true,
                    .busy = {"a"}}},
        .store_version = 12,
-       .silent_owners = {"other"}});
+       .silent_owners = {"other"},
+       .crashes = {{.task = "00000000000000ab.0.0.1", .life = 17}}});
   ForMutations(recorded, 1, [&](const std::string& message) {
     const auto heartbeat = DecodeHeartbeat(message);
     if (!heartbeat)
       return true;
-    control.ownership().DidReceiveHeartbeat(*heartbeat, now);
+    control.DidReceiveHeartbeat(*heartbeat, now);
     control.router().Choose(control.Owners(now), 1000, {});
     return IsSane(heartbeat->load) &&
            IsWithin(heartbeat->interval, {}, std::chrono::seconds(60));
@@ -294,6 +295,24 @@
   });
 }
 
+TEST(MutatedMessages, rows_of_crashes) {
+  const RowChange crash =
+      EncodeCrash({.record = {.task = "00000000000000ab.0.0.1", .life = 17}});
+  ForMutations(crash.value, 15, [&](const std::string& message) {
+    const auto decoded = DecodeCrash({.key = crash.key, .value = message});
+    if (decoded)
+      control.dispatcher().crashes().Learn(*decoded, now);
+    return true;
+  });
+  ForMutations(crash.key, 16, [&](const std::string& key) {
+    const auto decoded = DecodeCrash({.key = key, .value = crash.value});
+    if (decoded)
+      control.dispatcher().crashes().Learn(*decoded, now);
+    return !decoded || !decoded->task.empty();
+  });
+  CHECK(control.dispatcher().crashes().size() <= CrashHistory::kMostRecords);
+}
+
 TEST(MutatedMessages, rows_of_learned_queues) {
   const LearnedQueues queues{
       {"tiles",
@@ -368,7 +387,8 @@
   const StartCommand start = starts[0];
   const std::string recorded =
       R"({"clockMs":1000,"born":1,"running":[[")" + start.run.task +
-      R"(",1,"",40],["00000000000000cd.0.0.1",2,"",10]],"ended":[)"
+      R"(",1,"",40],["00000000000000cd.0.0.1",2,"",10]],)"
+      R"("capacity":{"cpu":64000,"memMb":1000,"gpu":0},"ended":[)"
       R"([7,"00000000000000cd.0.0.0",1,"done",""]]})";
   ForMutations(recorded, 13, [&](const std::string& message) {
     const platform::RenewReply reply =
@@ -383,6 +403,8 @@
       if (task.percent < 0 || task.percent > 100)
         return false;
     }
+    if (reply.report.capacity && !IsSane(*reply.report.capacity))
+      return false;
     return IsWithin(milliseconds(reply.report.clock_ms), {},
                     hours(1'000'000)) &&
            IsWithin(milliseconds(command.clock_ms), {}, hours(1'000'000));
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -100,4 +100,33 @@
   }
 }
 
+TEST(PeerCodec, crashes_survive_a_row_and_a_heartbeat) {
+  const CrashRecord record{.task = "job.0.0.3",
+                           .life = 0xFFFF'FFFF'FFFF'FFF1U,
+                           .role = CrashRole::kNewest,
+                           .is_certain = false};
+  const RowChange change = EncodeCrash({.record = record});
+  const auto read = DecodeCrash(
+      {.table = change.table, .key = change.key, .value = change.value});
+  CHECK(read.has_value());
+  CHECK(*read == record);
+  const auto heartbeat = DecodeHeartbeat(
+      EncodeHeartbeat({.name = "entry", .crashes = {record, record}}));
+  CHECK(heartbeat.has_value());
+  CHECK_EQUAL(2U, heartbeat->crashes.size());
+  CHECK(heartbeat->crashes[1] == record);
+}
+
+TEST(PeerCodec, malformed_rows_of_crashes_are_unreadable) {
+  const std::string good = R"({"role":"alone","certain":true})";
+  CHECK(DecodeCrash({.key = "crash/a/5", .value = good}).has_value());
+  for (const char* key :
+       {"crash/", "crash/a", "crash/a/", "crash/a/x", "other"})
+    CHECK(!DecodeCrash({.key = key, .value = good}).has_value());
+  for (const char* value :
+       {"", "[]", "{}", R"({"role":"x","certain":true})", R"({"role":"alone"})",
+        R"({"role":1,"certain":true})", R"({"role":"alone","certain":1})"})
+    CHECK(!DecodeCrash({.key = "crash/a/5", .value = value}).has_value());
+}
+
 }  // namespace mustardbank
--- a/Tests/LibSchedule/crash_history_test.cc
+++ b/Tests/LibSchedule/crash_history_test.cc
@@ -35,13 +35,15 @@
         std::string(kCrashVerdictNames[history.VerdictOf(task)]).c_str());
   }
 
-  // Moves all changes to another history, as the store would.
+  // Passes all changes to another history and back, as the store would.
   void Exchange(CrashHistory & other) {
     for (const CrashHistory::Change& change : history.TakeChanges(1000)) {
-      if (change.is_removal)
-        other.Unlearn(change.record.task, change.record.life);
-      else
-        other.Learn(change.record, now);
+      for (CrashHistory* reader : {&other, &history}) {
+        if (change.is_removal)
+          reader->Unlearn(change.record.task, change.record.life);
+        else
+          reader->Learn(change.record, now);
+      }
     }
   }
 };
@@ -158,6 +160,21 @@
   CHECK_EQUAL(0U, history.Unstored(1000).size());
 }
 
+TEST(CrashHistory, removal_that_is_older_than_a_record_does_not_remove_it) {
+  Crash(1, {At("a", 5)});
+  history.Unlearn("a", 1);
+  CheckVerdict(Verdict::kSuspect, "a");
+}
+
+TEST(CrashHistory, keys_name_the_task_and_the_life) {
+  const auto record = ParseCrashKey(CrashKey("job/1.0.0.0", 17));
+  CHECK(record.has_value());
+  STRCMP_EQUAL("job/1.0.0.0", record->task.c_str());
+  CHECK_EQUAL(17U, record->life);
+  for (const char* key : {"", "/", "a", "a/", "/5", "a/5x", "a/-5"})
+    CHECK(!ParseCrashKey(key).has_value());
+}
+
 TEST(CrashHistory, records_lead_to_the_same_verdict_in_any_order) {
   std::mt19937 random(7);
   std::vector<CrashRecord> records{
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -11,9 +11,10 @@
 //   clock_rate: of the workers' clocks; the platform guarantees 0.98 to 1.02
 //   ignores_tokens: workers accept commands with outdated fencing tokens
 // Prints the address of the store. The spec of a job's tasks is
-// "MILLICORES RUN_MS [fail]". The log has a line for each start, and a line
-// that begins with VIOLATION for each start that exceeds the capacity of a
-// worker or that runs a task while another worker still runs it.
+// "MILLICORES RUN_MS [fail|crash]"; a task with crash ends its worker, which
+// restarts at once with nothing but its id. The log has a line for each start,
+// and a line that begins with VIOLATION for each start that exceeds the
+// capacity of a worker or that runs a task while another worker still runs it.
 //
 // POST /admin takes an object with any of:
 //   configuration: stored under the operator's key
@@ -313,6 +314,10 @@
         NowMs());
     if (answer == CommandAnswer::kAccepted && !was_running)
       Record(worker, run);
+    if (answer == CommandAnswer::kAccepted && outcome == "crash") {
+      worker.model = std::make_unique<WorkerModel>(options_, NowMs());
+      SleepFiber(kLostAnswerDelay);
+    }
     return Answer(worker, answer);
   }
 
