LibSchedule: Limit the workers that a queue may crash at the cost of others

What callers saw: with a tenth of the third kind of request crashing its workers, the other kinds fell to half their worth, although nothing was wrong with them. Cause: each such task costs a worker for four seconds, and its second trial another one. Nothing weighed this cost against the other queues; tasks of all queues shared workers with it. Change: CrashLimits learns from the trials of suspects whether a queue's tasks are what crashes the workers. Only then its fresh jobs are refused (429, cause crash_limit, Retry-After when the next worker is back) while it has lost more workers than the learned demand of the other queues can spare, and its suspects are tried again within half of that; one that can't be tried in time is given up at once. Its tasks and those of others are placed apart where that makes none late. A queue whose suspects outlive their trials is not limited.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -24,6 +24,7 @@
 #include "LibSchedule/admission.h"
 #include "LibSchedule/caller_timeouts.h"
 #include "LibSchedule/crash_history.h"
+#include "LibSchedule/crash_limits.h"
 #include "LibSchedule/duration_estimator.h"
 #include "LibSchedule/learned_queues.h"
 #include "LibSchedule/owner_load.h"
@@ -242,7 +243,13 @@
   // Records crashes before the leases of the runs have lapsed, so that other
   // processes know of them by then.
   void RecordCrashes(Time now);
-  void DidOutliveStart(const LeasedRun& run);
+  void DidOutliveStart(const LeasedRun& run, Time now);
+  void CountCrash(const LeasedWorker& worker,
+                  const std::vector<std::string>& blamed,
+                  Time now);
+  // Workers that tasks of the queue may crash at a time: those that the other
+  // queues can spare.
+  double CrashLimitOf(const std::string& queue, Time now) const;
   // The worker that is kept for the task, which may still have other runs. Null
   // if no worker can be kept now.
   LeasedWorker* KeepLoneWorker(const std::string& task,
@@ -304,6 +311,8 @@
   WorkerSpeeds speeds_;
   Time speeds_fitted_at_;
   CrashHistory crashes_;
+  CrashLimits crash_limits_;
+  std::set<std::string> blamed_queues_;
   std::map<std::string, std::string> lone_workers_;  // by task
   QueueShares shares_;
   bool limits_queues_ = true;
--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -15,7 +15,8 @@
 constexpr std::size_t kMostLoggedTaskBytes = 200;
 // One in this many usable workers may be kept for a single suspected task.
 constexpr std::size_t kWorkersPerLoneTask = 4;
-
+// Of all workers, that a queue may lose however great the load is.
+constexpr double kLeastCrashShare = 1.0 / 8;
 }  // namespace
 
 void LeaseDispatcher::NoteLoss(LeasedWorker& worker,
@@ -75,7 +76,10 @@
   if (crash.runs.empty())
     return;
   worker.lost = life;
-  for (const std::string& task : crashes_.DidCrash(crash, now)) {
+  const std::vector<std::string> blamed = crashes_.DidCrash(crash, now);
+  if (is_certain)
+    CountCrash(worker, blamed, now);
+  for (const std::string& task : blamed) {
     ReleaseLoneWorker(task);
     const auto verdict = crashes_.VerdictOf(task);
     log_.Write(LogEvent::kTaskBlamed, now, LogBudget::kState)
@@ -95,12 +99,40 @@
   }
 }
 
-void LeaseDispatcher::DidOutliveStart(const LeasedRun& run) {
-  if (crashes_.VerdictOf(run.id.task) != CrashHistory::Verdict::kClear)
+void LeaseDispatcher::DidOutliveStart(const LeasedRun& run, Time now) {
+  if (crashes_.VerdictOf(run.id.task) != CrashHistory::Verdict::kClear) {
     ++counters_.lone_starts_ended;
+    crash_limits_.DidTry(run.queue, /*has_crashed=*/false, now);
+  }
   crashes_.DidEnd(run.id.task);
 }
 
+void LeaseDispatcher::CountCrash(const LeasedWorker& worker,
+                                 const std::vector<std::string>& blamed,
+                                 Time now) {
+  for (const std::string& task : blamed) {
+    const auto run = worker.runs.find(task);
+    if (run == worker.runs.end())
+      continue;
+    const std::string& queue = run->second.queue;
+    crash_limits_.DidCrash(queue, 1.0 / static_cast<double>(blamed.size()),
+                           now);
+    if (crashes_.CrashesOf(task) > 1)
+      crash_limits_.DidTry(queue, /*has_crashed=*/true, now);
+  }
+}
+
+double LeaseDispatcher::CrashLimitOf(const std::string& queue, Time now) const {
+  double workers = crash_limits_.Lost(now);
+  for (const auto& [id, worker] : workers_)
+    workers += worker.phase == WorkerPhase::kHeld ? 1 : 0;
+  double needed = 0;  // share of all workers
+  // The queue itself is served less while it is limited.
+  for (const auto& [name, demand] : shares_.Learned())
+    needed += name == queue ? demand.load / 2 : demand.load;
+  return workers * std::max(kLeastCrashShare, kPackedShare - needed);
+}
+
 LeasedWorker* LeaseDispatcher::KeepLoneWorker(const std::string& task,
                                               const PlacementQuery& query,
                                               Time now) {
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -24,6 +24,10 @@
 // them are tried again within this time.
 constexpr Duration kNoWorkerRetryAfter = std::chrono::seconds(1);
 
+// Of that limit, for tasks that probably crash their worker again. The rest is
+// for tasks that are not suspected yet.
+constexpr double kTrialShare = 0.5;
+
 // Tasks that wait are tried again at least this often.
 constexpr Duration kScheduleInterval = std::chrono::milliseconds(20);
 
@@ -144,6 +148,14 @@
         .cause = has_workers ? JobCause::kNeverFits : JobCause::kNotOwner,
         .retry_after = kMostRetryAfter};
   }
+  const std::string& queue = job.request.policy.name;
+  const Time earliest =
+      crash_limits_.EarliestRisk(queue, CrashLimitOf(queue, now), now);
+  if (earliest > now)
+    return JobResult{.outcome = JobOutcome::kRefused,
+                     .cause = JobCause::kCrashLimit,
+                     .retry_after = std::clamp(earliest - now, kLeastRetryAfter,
+                                               kMostRetryAfter)};
   const AdmissionLoad load = LoadAhead(job, now);
   const Time end = PredictEnd(load, job.estimate, now);
   const Time latest = std::min(LatestStartOf(job) + job.estimate.longest_chain,
@@ -315,6 +327,8 @@
     if (key > KeyOf(job))
       break;
     const Job& ahead = jobs_.at(key.job);
+    if (ahead.awaits_lone_worker)
+      continue;
     const double share = static_cast<double>(ahead.waiting) /
                          static_cast<double>(ahead.tasks.size());
     load.queued_work += ahead.estimate.work * share;
@@ -350,6 +364,7 @@
     return;
   schedule_due_ = false;
   ReleaseIdleLoneWorkers();
+  blamed_queues_ = crash_limits_.Blamed(now);
   std::vector<QueueKey> emptied;
   std::vector<std::string> hopeless;
   std::optional<QueueUses> running;  // empty after a change
@@ -394,6 +409,8 @@
         .speeds = speeds_,
         .run_time = LongestRun(job.run_times[task.group], group.count),
         .latest_run_time = LatestRunTime(job, task.group, now),
+        .blamed_queues = &blamed_queues_,
+        .queue = &job.request.policy.name,
         .is_job_started = job.was_started};
     if (!crashes_.empty() && crashes_.VerdictOf(TaskNameOf(job, i)) !=
                                  CrashHistory::Verdict::kClear) {
@@ -418,6 +435,13 @@
                                  std::size_t index,
                                  const PlacementQuery& query,
                                  Time now) {
+  const std::string& queue = job.request.policy.name;
+  const Time earliest = crash_limits_.EarliestRisk(
+      queue, kTrialShare * CrashLimitOf(queue, now), now);
+  if (earliest > now) {
+    job.awaits_lone_worker = true;
+    return earliest + query.run_time < job.request.deadline;
+  }
   LeasedWorker* worker = KeepLoneWorker(TaskNameOf(job, index), query, now);
   if (worker && worker->IsIdle() && worker->unsettled_starts.empty()) {
     ++counters_.lone_starts;
@@ -532,6 +556,7 @@
   worker.runs.emplace(
       run.task, LeasedRun{.id = run,
                           .job = job.request.id,
+                          .queue = job.request.policy.name,
                           .task = index,
                           .size = group.each,
                           .started = now,
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -93,7 +93,7 @@
   Unblock(run);
   ReleaseLoneWorker(run.id.task);
   if (end == RunEnd::kDone || end == RunEnd::kFailed)
-    DidOutliveStart(run);
+    DidOutliveStart(run, now);
   const auto job_it = jobs_.find(run.job);
   log_.Write(LogEvent::kTaskEnded, now)
       .Add(LogField::kJob, run.job)
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -27,6 +27,7 @@
 struct LeasedRun {
   RunId id;
   std::string job;  // "" once the job has ended
+  std::string queue;
   std::size_t task = 0;
   Resources size;
   RunState state = RunState::kStarting;
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -21,6 +21,22 @@
                     [&](const auto& run) { return run.second.job == job; }));
 }
 
+CrashRisk RiskOn(const LeasedWorker& worker, const PlacementQuery& query) {
+  if (!query.blamed_queues || query.blamed_queues->empty())
+    return CrashRisk::kNone;
+  const auto is_blamed = [&](const std::string& queue) {
+    return query.blamed_queues->contains(queue);
+  };
+  const bool is_task_blamed = is_blamed(*query.queue);
+  if (worker.runs.empty())
+    return is_task_blamed ? CrashRisk::kSingle : CrashRisk::kNone;
+  const bool is_shared = std::any_of(
+      worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
+        return is_blamed(entry.second.queue) != is_task_blamed;
+      });
+  return is_shared ? CrashRisk::kShared : CrashRisk::kNone;
+}
+
 bool IsAllowed(const LeasedWorker& worker, const PlacementQuery& query) {
   const TaskGroup& group = query.group;
   if (worker.entry.service != query.service)
@@ -56,7 +72,8 @@
          .is_avoided = id == query.avoided,
          .is_reserve = worker.is_evacuated || worker.IsCold(now),
          .is_far = !query.group.preferred_rack.empty() &&
-                   !HasLabel(worker.entry, query.group.preferred_rack)});
+                   !HasLabel(worker.entry, query.group.preferred_rack),
+         .crash_risk = RiskOn(worker, query)});
   }
   const auto choice = ChooseCandidate(candidates, query.latest_run_time);
   return choice ? usable[*choice] : nullptr;
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "LibLease/leased_worker.h"
@@ -20,6 +21,9 @@
   const WorkerSpeeds& speeds;
   Duration run_time{};         // expected on a reference worker
   Duration latest_run_time{};  // that still meets the job's objective
+  // Queues whose tasks crash workers.
+  const std::set<std::string>* blamed_queues = nullptr;
+  const std::string* queue = nullptr;
   // Such a job may start its remaining tasks on evacuated workers for a while.
   bool is_job_started = false;
 };
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -300,6 +300,8 @@
       return JobCause::kHandedOver;
     case JobCause::kCrashesWorkers:
       return JobCause::kTaskFailed;
+    case JobCause::kCrashLimit:
+      return JobCause::kNoRoom;
     default:
       return cause;
   }
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -39,6 +39,9 @@
 // Queues change slowly, and calls to the store are paid for.
 constexpr milliseconds kLearnedInterval{10'000};
 constexpr milliseconds kRecallInterval{60'000};
+// A suspected task starts again when its lease has lapsed, 0.9 s after a crash,
+// and each change of the table is a call of every VM.
+constexpr milliseconds kCrashesInterval{200};
 // VMs of a data centre that count its workers at the first start, and the time
 // after which one more does.
 constexpr std::int64_t kWorkerCounters = 2;
@@ -335,7 +338,7 @@
 
 void StoreLoop::KeepCrashes() {
   while (true) {
-    SleepFiber(kIdlePoll);
+    SleepFiber(kCrashesInterval);
     CrashHistory& crashes = control_.dispatcher().crashes();
     const Time now = BootClock::now();
     crashes.Expire(control_.ownership().OwnsAny() &&
--- a/Libraries/LibSchedule/job.h
+++ b/Libraries/LibSchedule/job.h
@@ -91,16 +91,18 @@
   kEvacuated,       // the operator evacuates the data centre of the workers
   kOverShare,       // a burst of its queue must leave other queues their shares
   kCrashesWorkers,  // workers crashed under one of its tasks
+  kCrashLimit,      // tasks of its queue have crashed too many workers
 };
 
-inline constexpr EnumNames<JobCause, 21> kJobCauseNames{
+inline constexpr EnumNames<JobCause, 22> kJobCauseNames{
     {"none",         "task_failed",      "runs_lost",
      "no_room",      "waited_too_long",  "never_fits",
      "not_owner",    "handed_over",      "deadline",
      "cancelled",    "ownership_lost",   "home_silent",
      "unsupported",  "no_configuration", "no_queue",
      "owner_silent", "no_owner",         "leaving",
-     "evacuated",    "over_share",       "crashes_workers"}};
+     "evacuated",    "over_share",       "crashes_workers",
+     "crash_limit"}};
 
 struct JobResult {
   JobOutcome outcome = JobOutcome::kRefused;
--- a/Libraries/LibSchedule/placement_choice.cc
+++ b/Libraries/LibSchedule/placement_choice.cc
@@ -38,7 +38,8 @@
     // Where the task is late, the delay counts.
     return std::tuple(candidate.is_avoided, candidate.is_reserve, is_late,
                       is_late ? candidate.run_time : Duration{},
-                      candidate.is_far, candidate.leftover_millicores);
+                      candidate.crash_risk, candidate.is_far,
+                      candidate.leftover_millicores);
   };
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/Libraries/LibSchedule/placement_choice.h
+++ b/Libraries/LibSchedule/placement_choice.h
@@ -15,12 +15,21 @@
 
 namespace mustardbank {
 
+// What a crash of the worker would cost, while tasks of some queues crash
+// workers.
+enum class CrashRisk {
+  kNone,    // only such tasks would share the worker, or only others
+  kSingle,  // a task that may crash the worker has it to itself
+  kShared,  // tasks of other queues would be lost with it
+};
+
 struct PlacementCandidate {
   std::int64_t leftover_millicores = 0;  // free beside the task
   Duration run_time{};                   // predicted for the task there
   bool is_avoided = false;  // the task failed there or was stopped there
   bool is_reserve = false;  // evacuated or cold: only if no other can start it
   bool is_far = false;      // from the task's data
+  CrashRisk crash_risk = CrashRisk::kNone;
 
   bool operator==(const PlacementCandidate&) const = default;
 };
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -24,6 +24,8 @@
   std::uint32_t most_tasks = 0;
   std::uint32_t priority = 0;
   double millicores = 27'000;  // mean
+  // Jobs whose first task crashes each worker that starts it.
+  double crashing_share = 0;
 };
 
 // No VM is up for some time, and no job is taken. Callers send their jobs again
@@ -149,13 +151,18 @@
   LeaseDispatcher& dispatcher() { return fixture_.dispatcher; }
   Time now() const { return fixture_.now; }
 
+  // Crashes of workers. Each is back after kDownTime, in a new incarnation.
+  int crashes() const { return crashes_; }
+
   // Counts from now on only.
   void ForgetOutcomes() { outcomes_.clear(); }
 
   static constexpr const char* kReturned = " returned";
+  static constexpr const char* kCrashing = " crashing";
 
  private:
   static constexpr Duration kResendAfter = std::chrono::milliseconds(1300);
+  static constexpr Duration kDownTime = std::chrono::milliseconds(3500);
   static constexpr Duration kLateBy = std::chrono::milliseconds(1500);
 
   struct LoadJob {
@@ -168,6 +175,7 @@
     std::int64_t millicores = 0;
     std::uint32_t priority = 0;
     std::uint32_t tasks = 0;
+    bool crashes = false;
   };
 
   std::int64_t NowMs() const {
@@ -186,8 +194,11 @@
     if (load_workers_.share_of_long_jobs > 0 &&
         std::bernoulli_distribution(load_workers_.share_of_long_jobs)(random_))
       run_ms *= 7;
+    const bool crashes =
+        kind.crashing_share > 0 &&
+        std::bernoulli_distribution(kind.crashing_share)(random_);
     return {
-        .kind = kind.name,
+        .kind = kind.name + (crashes ? kCrashing : ""),
         .first_sent = fixture_.now,
         .timeout = FromMilliseconds(2000 + 3 * kind.run_ms),
         .declared = FromMilliseconds(Lognormal(run_ms, 0.4)),
@@ -198,7 +209,8 @@
         .priority = kind.priority,
         .tasks = std::clamp<std::uint32_t>(
             static_cast<std::uint32_t>(std::lround(Lognormal(kind.tasks, 0.4))),
-            1, kind.most_tasks)};
+            1, kind.most_tasks),
+        .crashes = crashes};
   }
 
   void SubmitLoadJob(const LoadJob& load_job) {
@@ -210,7 +222,7 @@
                               .run_time = load_job.declared,
                               .longest_wait = load_job.first_sent +
                                               load_job.timeout - fixture_.now});
-    job.policy.name = load_job.kind.substr(0, load_job.kind.find(kReturned));
+    job.policy.name = load_job.kind.substr(0, load_job.kind.find(' '));
     job.policy.priority = load_job.priority;
     const bool has_capacity = Places(load_job.millicores) >= load_job.tasks &&
                               fixture_.dispatcher.queued_jobs() == 0;
@@ -248,11 +260,22 @@
     fixture_.Pump();
     for (int round = 0; round < 3; ++round) {
       for (const StartCommand& start : std::exchange(fixture_.starts, {})) {
+        if (IsDown(start.target.worker)) {
+          fixture_.dispatcher.DidStart(start, CommandAnswer::kRefusedConnection,
+                                       0, fixture_.now);
+          continue;
+        }
         WorkerModel& model = models_.at(start.target.worker);
         CountStart(start.target.worker);
         const LoadJob& load_job =
             jobs_.at(start.run.task.substr(0, start.run.task.find('.')));
         const std::int64_t run_ms = RunMs(start, load_job);
+        if (load_job.crashes && start.run.task.ends_with(".0.0")) {
+          fixture_.dispatcher.DidStart(start, CommandAnswer::kAccepted,
+                                       model.ClockAt(NowMs()), fixture_.now);
+          Crash(start.target.worker);
+          continue;
+        }
         if (IsDelayed()) {
           lost_.emplace_back(fixture_.now + start.timeout, [this, start] {
             fixture_.dispatcher.DidStart(start, CommandAnswer::kNoAnswer, 0,
@@ -279,10 +302,12 @@
                                        fixture_.now);
       }
       for (const StopCommand& stop : std::exchange(fixture_.stops, {}))
-        fixture_.dispatcher.DidStop(
-            stop,
-            models_.at(stop.target.worker).Stop(stop.run, kToken, NowMs()),
-            fixture_.now);
+        fixture_.dispatcher.DidStop(stop,
+                                    IsDown(stop.target.worker)
+                                        ? CommandAnswer::kRefusedConnection
+                                        : models_.at(stop.target.worker)
+                                              .Stop(stop.run, kToken, NowMs()),
+                                    fixture_.now);
       AnswerRenewals();
       fixture_.Pump();
     }
@@ -314,6 +339,11 @@
       waiting_.emplace_back(NowMs(), renewal);
     std::vector<std::pair<std::int64_t, RenewCommand>> still_waiting;
     for (auto& [since, renewal] : waiting_) {
+      if (IsDown(renewal.target.worker)) {
+        fixture_.dispatcher.DidRenew(renewal, CommandAnswer::kRefusedConnection,
+                                     {}, fixture_.now);
+        continue;
+      }
       WorkerModel& model = models_.at(renewal.target.worker);
       model.Renew(kToken, since == NowMs() ? renewal.lease_until_ms : 0,
                   renewal.acknowledged, NowMs());
@@ -337,6 +367,23 @@
     waiting_ = std::move(still_waiting);
   }
 
+  void Crash(const std::string& worker) {
+    ++crashes_;
+    down_until_[worker] = fixture_.now + kDownTime;
+    models_.erase(worker);
+  }
+
+  bool IsDown(const std::string& worker) {
+    const auto it = down_until_.find(worker);
+    if (it == down_until_.end())
+      return false;
+    if (fixture_.now < it->second)
+      return true;
+    down_until_.erase(it);
+    models_.emplace(worker, WorkerModel({}, NowMs()));
+    return false;
+  }
+
   bool IsDelayed() {
     return delay_ > 0 && std::bernoulli_distribution(delay_)(random_);
   }
@@ -384,6 +431,8 @@
   std::multimap<Time, LoadJob> returning_;  // by the time of the next try
   std::map<std::string, LoadOutcome> outcomes_;
   int next_job_ = 0;
+  std::map<std::string, Time> down_until_;
+  int crashes_ = 0;
   static constexpr const char* kEvacuated = "tanger";
   Time evacuated_at_;
   Time withdrawn_at_;
--- a/Tests/LibLease/load_test.cc
+++ b/Tests/LibLease/load_test.cc
@@ -154,4 +154,29 @@
   }
 }
 
+// A tenth of one kind of job has a task that crashes its workers, at one data
+// centre without help from others. The users require a worth of 0.62 for the
+// grown agency over days with faults, which the other kinds must keep, and 0.28
+// for each kind on the heaviest day, which the healthy jobs of that kind must.
+TEST(Load, other_kinds_are_served_beside_tasks_that_crash_workers) {
+  std::map<std::string, LoadOutcome> sums;
+  for (unsigned seed = 21; seed < 25; ++seed) {
+    std::vector<LoadKind> kinds = MixOf(0.6);
+    kinds.back().crashing_share = 0.1;
+    LoadSimulation simulation(seed);
+    simulation.Run(MixOf(0.6), 4);
+    simulation.ForgetOutcomes();
+    for (const auto& [kind, outcome] : simulation.Run(kinds, 12)) {
+      sums[kind].submitted += outcome.submitted;
+      sums[kind].in_objective += outcome.in_objective;
+      sums[kind].late += outcome.late;
+      sums[kind].refused += outcome.refused;
+    }
+  }
+  Print(0.6, sums);
+  for (const char* kind : {"alerte", "itineraire"})
+    CHECK(sums[kind].served_share() >= 0.62);
+  CHECK(sums["fiche"].served_share() >= 0.28);
+}
+
 }  // namespace mustardbank
--- a/Tests/LibSchedule/placement_choice_test.cc
+++ b/Tests/LibSchedule/placement_choice_test.cc
@@ -66,4 +66,23 @@
                         milliseconds(200)) == 1);
 }
 
+// Guards against tasks of other queues that are lost with a worker.
+TEST(PlacementChoice, tasks_that_may_crash_workers_are_kept_apart) {
+  const Duration run_time = milliseconds(100);
+  const Duration latest = milliseconds(500);
+  CHECK(ChooseCandidate({{.leftover_millicores = 0,
+                          .run_time = run_time,
+                          .crash_risk = CrashRisk::kShared},
+                         {.leftover_millicores = 900,
+                          .run_time = run_time,
+                          .crash_risk = CrashRisk::kSingle},
+                         {.leftover_millicores = 999, .run_time = run_time}},
+                        latest) == 2);
+  // But not at the price of an answer that is late.
+  CHECK(
+      ChooseCandidate({{.run_time = run_time, .crash_risk = CrashRisk::kShared},
+                       {.run_time = milliseconds(600)}},
+                      latest) == 0);
+}
+
 }  // namespace mustardbank
