LibLease: Blame runs of a former owner for crashes, too

Cause: runs that another owner had started were only counted, so that a worker that crashed right after a hand-over was blamed on no task. Change: their names are kept until the worker no longer lists them, and count as older than all runs of this owner.

--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -66,15 +66,16 @@
       crashes_.Confirm(life);
     return;
   }
-  CrashHistory::Crash crash{.life = life,
-                            .has_other_runs = worker.foreign_runs > 0,
-                            .is_certain = is_certain};
+  CrashHistory::Crash crash{.life = life, .is_certain = is_certain};
   for (const auto& [task, run] : worker.runs)
     crash.runs.push_back({.task = task, .started = run.started});
   for (const auto& [task, start] : worker.unsettled_starts)
     crash.runs.push_back({.task = task, .started = start.started});
   if (crash.runs.empty())
     return;
+  // Of a former owner, so older than all others.
+  for (const std::string& task : worker.foreign_tasks)
+    crash.runs.push_back({.task = task, .started = Time::min()});
   worker.lost = life;
   const std::vector<std::string> blamed = crashes_.DidCrash(crash, now);
   if (is_certain)
@@ -93,7 +94,7 @@
 
 void LeaseDispatcher::RecordCrashes(Time now) {
   for (auto& [id, worker] : workers_) {
-    if (worker.phase == WorkerPhase::kDown && !worker.runs.empty() &&
+    if (worker.phase == WorkerPhase::kDown && !worker.IsIdle() &&
         worker.lost != worker.Life() && HasCrashed(worker))
       RecordLoss(worker, /*is_certain=*/true, now);
   }
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -262,7 +262,7 @@
 void LeaseDispatcher::DidFindReplaced(LeasedWorker& worker, Time now) {
   DidFindDown(worker, now);
   NoteLoss(worker, LossEvidence::kReplaced, now);
-  worker.foreign_runs = 0;
+  worker.foreign_tasks.clear();
   worker.unsettled_starts.clear();
   EndAllRuns(worker, RunEnd::kLapsed, now);
 }
@@ -303,12 +303,12 @@
   // A worker that was unreachable or had foreign runs may now have free
   // capacity.
   schedule_due_ = true;
-  worker.foreign_runs = 0;
+  worker.foreign_tasks.clear();
   std::set<std::string> present;
   for (const RunningTask& running : report.running) {
     const auto it = worker.runs.find(running.run.task);
     if (it == worker.runs.end() || it->second.id != running.run) {
-      ++worker.foreign_runs;
+      worker.foreign_tasks.insert(running.run.task);
       actions_.emplace_back(StopCommand{.target = TargetOf(worker),
                                         .run = running.run,
                                         .timeout = answer_timeout_.Timeout()});
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,7 +99,7 @@
   std::uint64_t acknowledged_sent = 0;
   std::map<std::string, LeasedRun> runs;                   // by task
   std::map<std::string, UnsettledStart> unsettled_starts;  // by task
-  std::size_t foreign_runs = 0;  // runs not started by this owner
+  std::set<std::string> foreign_tasks;  // runs not started by this owner
   OutcomeHealth outcome_health;
   // A task that must not share the worker runs here, or will once the other
   // runs have ended.
@@ -151,7 +152,7 @@
     if (IsCold(now) && !runs.empty())
       return false;
     if (phase != WorkerPhase::kHeld || entry.leaving || releasing || unlisted ||
-        foreign_runs > 0 || now - answered_at > timing.max_answer_age)
+        !foreign_tasks.empty() || now - answered_at > timing.max_answer_age)
       return false;
     switch (outcome_health.AvailabilityAt(now)) {
       case OutcomeHealth::Availability::kExcluded:
@@ -169,7 +170,7 @@
                         incarnation != 0 ? incarnation : entry.incarnation);
   }
 
-  bool IsIdle() const { return runs.empty() && foreign_runs == 0; }
+  bool IsIdle() const { return runs.empty() && foreign_tasks.empty(); }
 
   // Returns the end of a lease that begins now, on the worker's clock. Also
   // raises `lapsed_at` to the latest time at which that lease can end if the
--- a/Tests/LibLease/crash_test.cc
+++ b/Tests/LibLease/crash_test.cc
@@ -204,4 +204,26 @@
   CHECK(fixture.now < Time(seconds(102)) - milliseconds(400));
 }
 
+// Guards against crashes that are blamed on no task around a hand-over.
+TEST(Crash, runs_of_a_former_owner_are_blamed_too) {
+  OwnWorkers(2);
+  fixture.Advance(seconds(1));
+  const RunId foreign{"job.0.0.0", 1};
+  for (const RenewCommand& renewal : std::exchange(fixture.renewals, {})) {
+    std::vector<RunningTask> running;
+    if (renewal.target.worker == "w10")
+      running.push_back({foreign, 10});
+    fixture.dispatcher.DidRenew(
+        renewal, CommandAnswer::kAccepted,
+        {.incarnation = 1, .clock_ms = NowMs(), .running = running},
+        fixture.now);
+  }
+  fixture.Pump();
+  crashed = {"w10"};
+  for (int i = 0; i < 100; ++i)
+    Step(milliseconds(10));
+  CHECK(fixture.dispatcher.crashes().VerdictOf(foreign.task) ==
+        CrashHistory::Verdict::kSuspect);
+}
+
 }  // namespace mustardbank
