LibSchedule: Count a crashed worker as missing until it answers again

Cause: a queue's lost workers counted for four seconds even if they were back at once, and a queue was limited for the sake of others that did not exist. Change: a worker that answers in a new life no longer counts, and nothing is limited if the other queues have no demand.

--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kWorkersPerLoneTask = 4;
 // Of all workers, that a queue may lose however great the load is.
 constexpr double kLeastCrashShare = 1.0 / 8;
+// Of other queues, in shares of all workers, that is worth protecting.
+constexpr double kLeastDemand = 0.01;
 }  // namespace
 
 void LeaseDispatcher::NoteLoss(LeasedWorker& worker,
@@ -71,11 +73,11 @@
     crash.runs.push_back({.task = task, .started = run.started});
   for (const auto& [task, start] : worker.unsettled_starts)
     crash.runs.push_back({.task = task, .started = start.started});
-  if (crash.runs.empty())
-    return;
   // Of a former owner, so older than all others.
   for (const std::string& task : worker.foreign_tasks)
     crash.runs.push_back({.task = task, .started = Time::min()});
+  if (crash.runs.empty())
+    return;
   worker.lost = life;
   const std::vector<std::string> blamed = crashes_.DidCrash(crash, now);
   if (is_certain)
@@ -116,8 +118,8 @@
     if (run == worker.runs.end())
       continue;
     const std::string& queue = run->second.queue;
-    crash_limits_.DidCrash(queue, 1.0 / static_cast<double>(blamed.size()),
-                           now);
+    crash_limits_.DidCrash(queue, worker.entry.id,
+                           1.0 / static_cast<double>(blamed.size()), now);
     if (crashes_.CrashesOf(task) > 1)
       crash_limits_.DidTry(queue, /*has_crashed=*/true, now);
   }
@@ -127,11 +129,14 @@
   double workers = crash_limits_.Lost(now);
   for (const auto& [id, worker] : workers_)
     workers += worker.phase == WorkerPhase::kHeld ? 1 : 0;
-  double needed = 0;  // share of all workers
-  // The queue itself is served less while it is limited.
+  double own = 0;  // shares of all workers
+  double others = 0;
   for (const auto& [name, demand] : shares_.Learned())
-    needed += name == queue ? demand.load / 2 : demand.load;
-  return workers * std::max(kLeastCrashShare, kPackedShare - needed);
+    (name == queue ? own : others) += demand.load;
+  if (others < kLeastDemand)
+    return workers;
+  // The queue itself is served less while it is limited.
+  return workers * std::max(kLeastCrashShare, kPackedShare - others - own / 2);
 }
 
 LeasedWorker* LeaseDispatcher::KeepLoneWorker(const std::string& task,
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -282,6 +282,7 @@
     if (worker.incarnation != 0) {
       speeds_.Forget(worker.entry.id);
       NoteLoss(worker, LossEvidence::kRestarted, now);
+      crash_limits_.DidReturn(worker.entry.id);
     }
     worker.has_report = false;
     worker.reported_capacity.reset();
@@ -338,6 +339,9 @@
     ++counters_.runs_vanished;
     EndRun(worker, task, RunEnd::kLapsed, now);
   }
+  if (worker.phase == WorkerPhase::kDown ||
+      worker.phase == WorkerPhase::kUnverified)
+    crash_limits_.DidReturn(worker.entry.id);
   SetPhase(worker, WorkerPhase::kHeld, now);
   StopMissingStarts(worker, command.number, now);
   StopStragglers(worker, made_at, now);
--- a/Libraries/LibSchedule/crash_limits.cc
+++ b/Libraries/LibSchedule/crash_limits.cc
@@ -18,14 +18,23 @@
 
 }  // namespace
 
-void CrashLimits::DidCrash(const std::string& queue, double weight, Time now) {
+void CrashLimits::DidCrash(const std::string& queue,
+                           const std::string& worker,
+                           double weight,
+                           Time now) {
   Forget(now);
   std::deque<Loss>& losses = queues_[queue].losses;
-  losses.push_back({.at = now, .weight = weight});
+  losses.push_back({.worker = worker, .at = now, .weight = weight});
   if (losses.size() > kMostKept)
     losses.pop_front();
 }
 
+void CrashLimits::DidReturn(const std::string& worker) {
+  for (auto& [name, queue] : queues_)
+    std::erase_if(queue.losses,
+                  [&](const Loss& loss) { return loss.worker == worker; });
+}
+
 void CrashLimits::DidTry(const std::string& queue, bool has_crashed, Time now) {
   Forget(now);
   std::deque<Trial>& trials = queues_[queue].trials;
--- a/Libraries/LibSchedule/crash_limits.h
+++ b/Libraries/LibSchedule/crash_limits.h
@@ -21,7 +21,12 @@
  public:
   // A worker crashed. `weight` is the likelihood that a task of the queue is
   // the cause, if one is.
-  void DidCrash(const std::string& queue, double weight, Time now);
+  void DidCrash(const std::string& queue,
+                const std::string& worker,
+                double weight,
+                Time now);
+  // The worker answers again.
+  void DidReturn(const std::string& worker);
   // A suspected task of the queue ran alone on a worker.
   void DidTry(const std::string& queue, bool has_crashed, Time now);
 
@@ -36,11 +41,13 @@
   // later than now if it may at once, or is not blamed.
   Time EarliestRisk(const std::string& queue, double limit, Time now) const;
 
-  // A worker that crashed is listed again and answers after this time.
+  // A worker that crashed is listed again, maybe under another id, and answers
+  // after this time.
   static constexpr Duration kDownTime = std::chrono::seconds(4);
 
  private:
   struct Loss {
+    std::string worker;
     Time at;
     double weight = 0;
   };
--- a/Tests/LibSchedule/crash_limits_test.cc
+++ b/Tests/LibSchedule/crash_limits_test.cc
@@ -14,7 +14,7 @@
 
   void CrashTrials(int count) {
     for (int i = 0; i < count; ++i) {
-      limits.DidCrash("bad", 1, now);
+      limits.DidCrash("bad", "w", 1, now);
       limits.DidTry("bad", /*has_crashed=*/true, now);
     }
   }
@@ -23,7 +23,7 @@
 // Guards against limits on callers whose workers crash for other reasons.
 TEST(CrashLimits, crashes_alone_limit_no_queue) {
   for (int i = 0; i < 20; ++i)
-    limits.DidCrash("bad", 1, now);
+    limits.DidCrash("bad", "w", 1, now);
   CHECK(!limits.IsBlamed("bad", now));
   CHECK(limits.EarliestRisk("bad", 1, now) <= now);
 }
@@ -62,4 +62,11 @@
   DOUBLES_EQUAL(0, limits.Lost(now), 1e-9);
 }
 
+TEST(CrashLimits, worker_that_answers_again_is_not_missing) {
+  CrashTrials(3);
+  limits.DidCrash("bad", "other", 1, now);
+  limits.DidReturn("w");
+  DOUBLES_EQUAL(1, limits.LostBy("bad", now), 1e-9);
+}
+
 }  // namespace mustardbank
