Soak: Submit tasks that crash their workers

One job in thirty has a task that crashes the worker that starts it. No such task may be started six times, that is three times after three crashes, and no other job may be shown as failed because it shared a worker with one.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -55,6 +55,8 @@
 constexpr int kMaxAttempts = 4;
 constexpr double kMinServedFraction = 0.8;
 constexpr int kRecoveryJobs = 20;
+// After three crashes, a task may be started less than three times more.
+constexpr int kMostCrashingStarts = 5;
 
 struct Tally {
   int jobs = 0;
@@ -110,6 +112,12 @@
     CheckRecovery();
     for (const std::string& line : deployment_.Violations())
       RecordFailure(line);
+    for (const std::string& job : crashing_jobs_) {
+      if (const int starts = deployment_.StartsOf(job);
+          starts > kMostCrashingStarts)
+        RecordFailure("a task that crashes its workers was started " +
+                      std::to_string(starts) + " times: " + job);
+    }
     for (const std::string& job : refused_jobs_) {
       if (deployment_.StartsOf(job) > 0)
         RecordFailure("tasks of a refused job were started: " + job);
@@ -275,7 +283,10 @@
                              ? 900 + static_cast<int>(random() % 900)
                              : 20 + static_cast<int>(random() % 300);
       const int millicores = 15'000 + static_cast<int>(random() % 20'000);
-      RunJob(id, tasks, millicores, run_ms, caller + i);
+      if (random() % 30 == 0)
+        RunJob(id, 1, millicores, run_ms, caller + i, "crash");
+      else
+        RunJob(id, tasks, millicores, run_ms, caller + i);
     }
   }
 
@@ -283,7 +294,8 @@
               int tasks,
               int millicores,
               int run_ms,
-              int first_entry) {
+              int first_entry,
+              const std::string& outcome = "") {
     int refusals = 0;
     int attempts = 0;
     CallerAnswer answer;
@@ -291,7 +303,7 @@
       const int entry = (first_entry + attempts) % deployment_.entry_count();
       ++attempts;
       answer = deployment_.Submit(entry, id, tasks, millicores, run_ms,
-                                  kCallerTimeout);
+                                  kCallerTimeout, outcome);
       const bool is_refused = answer.status == 429 || answer.status == 503;
       if (is_refused && answer.retry_after.empty())
         RecordFailure("refusal without Retry-After for job " + id);
@@ -311,6 +323,10 @@
       ++tally_.unknown;
     if (refusals == attempts)
       refused_jobs_.push_back(id);
+    if (!outcome.empty()) {
+      crashing_jobs_.push_back(id);
+      return;
+    }
     if (answer.status == 200 && answer.body != R"({"state":"succeeded"})")
       failures_.push_back("unexpected body of an answer with status 200: " +
                           answer.body);
@@ -353,6 +369,7 @@
   mutable std::mutex mutex_;
   Tally tally_;
   std::vector<std::string> refused_jobs_;
+  std::vector<std::string> crashing_jobs_;
   std::vector<std::string> failures_;
 };
 
