LibLease: Compute the limit of crashes for blamed queues only

Cause: the learned demand of all queues was copied for each job that arrived, also while no task crashes anything, and a vector grew without a reservation (lint). Change: the limit is computed once a queue is blamed. No decision changes. Measured: unit and load tests as before.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -250,6 +250,9 @@
   // Workers that tasks of the queue may crash at a time: those that the other
   // queues can spare.
   double CrashLimitOf(const std::string& queue, Time now) const;
+  // When a task of the queue that may crash its worker may be started, if the
+  // queue may use `share` of its limit.
+  Time EarliestRisk(const std::string& queue, double share, Time now) const;
   // The worker that is kept for the task, which may still have other runs. Null
   // if no worker can be kept now.
   LeasedWorker* KeepLoneWorker(const std::string& task,
--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -139,6 +139,15 @@
   return workers * std::max(kLeastCrashShare, kPackedShare - others - own / 2);
 }
 
+Time LeaseDispatcher::EarliestRisk(const std::string& queue,
+                                   double share,
+                                   Time now) const {
+  if (!crash_limits_.IsBlamed(queue, now))
+    return now;
+  return crash_limits_.EarliestRisk(queue, share * CrashLimitOf(queue, now),
+                                    now);
+}
+
 LeasedWorker* LeaseDispatcher::KeepLoneWorker(const std::string& task,
                                               const PlacementQuery& query,
                                               Time now) {
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -148,9 +148,7 @@
         .cause = has_workers ? JobCause::kNeverFits : JobCause::kNotOwner,
         .retry_after = kMostRetryAfter};
   }
-  const std::string& queue = job.request.policy.name;
-  const Time earliest =
-      crash_limits_.EarliestRisk(queue, CrashLimitOf(queue, now), now);
+  const Time earliest = EarliestRisk(job.request.policy.name, /*share=*/1, now);
   if (earliest > now)
     return JobResult{.outcome = JobOutcome::kRefused,
                      .cause = JobCause::kCrashLimit,
@@ -435,9 +433,7 @@
                                  std::size_t index,
                                  const PlacementQuery& query,
                                  Time now) {
-  const std::string& queue = job.request.policy.name;
-  const Time earliest = crash_limits_.EarliestRisk(
-      queue, kTrialShare * CrashLimitOf(queue, now), now);
+  const Time earliest = EarliestRisk(job.request.policy.name, kTrialShare, now);
   if (earliest > now) {
     job.awaits_lone_worker = true;
     return earliest + query.run_time < job.request.deadline;
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -349,6 +349,7 @@
     if (changes.empty())
       continue;
     std::vector<RowChange> rows;
+    rows.reserve(changes.size());
     for (const CrashHistory::Change& change : changes)
       rows.push_back(EncodeCrash(change));
     const auto written = store_.Change(rows, kCallTimeout);
