LibLease: Start no waiting task that is found to be the cause

Cause: a task that waits as a suspect, and is found to be the cause meanwhile, by another owner or by a start command carried out late, was still started once more alone: only the end of a run of its own ended its job. Change: its job ends `failed` when the queue is next gone through.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -159,6 +159,7 @@
     bool is_held = false;  // waits as it must leave capacity to other queues
     bool awaits_lone_worker = false;  // only for tasks that must run alone
     bool is_hopeless = false;  // such a task can't end before the deadline
+    bool has_cause = false;    // a task that crashes its workers
   };
 
   // Late jobs come after all others.
--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -19,6 +19,7 @@
 constexpr double kLeastCrashShare = 1.0 / 8;
 // Of other queues, in shares of all workers, that is worth protecting.
 constexpr double kLeastDemand = 0.01;
+
 }  // namespace
 
 void LeaseDispatcher::NoteLoss(LeasedWorker& worker,
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -365,6 +365,7 @@
   blamed_queues_ = crash_limits_.Blamed(now);
   std::vector<QueueKey> emptied;
   std::vector<std::string> hopeless;
+  std::vector<std::string> crashing;
   std::optional<QueueUses> running;  // empty after a change
   for (const QueueKey& key : queue_) {
     Job& job = jobs_.at(key.job);
@@ -383,11 +384,17 @@
       emptied.push_back(key);
     if (job.is_hopeless)
       hopeless.push_back(key.job);
+    if (job.has_cause)
+      crashing.push_back(key.job);
   }
   for (const QueueKey& key : emptied)
     queue_.erase(key);
   for (const std::string& job : hopeless)
     Cancel(job, JobCause::kRunsLost, now);
+  for (const std::string& job : crashing)
+    Finish(job,
+           {.outcome = JobOutcome::kFailed, .cause = JobCause::kCrashesWorkers},
+           now);
 }
 
 // Returns whether tasks are still waiting.
@@ -410,8 +417,13 @@
         .blamed_queues = &blamed_queues_,
         .queue = &job.request.policy.name,
         .is_job_started = job.was_started};
-    if (!crashes_.empty() && crashes_.VerdictOf(TaskNameOf(job, i)) !=
-                                 CrashHistory::Verdict::kClear) {
+    const auto verdict = crashes_.empty()
+                             ? CrashHistory::Verdict::kClear
+                             : crashes_.VerdictOf(TaskNameOf(job, i));
+    job.has_cause = verdict == CrashHistory::Verdict::kCause;
+    if (job.has_cause)
+      break;
+    if (verdict == CrashHistory::Verdict::kSuspect) {
       job.is_hopeless = !StartAlone(job, i, query, now);
       if (job.is_hopeless)
         break;
--- a/Tests/LibLease/crash_test.cc
+++ b/Tests/LibLease/crash_test.cc
@@ -226,4 +226,25 @@
         CrashHistory::Verdict::kSuspect);
 }
 
+// Guards against a further start after another owner has found the cause.
+TEST(Crash, waiting_task_that_is_found_to_be_the_cause_is_not_started) {
+  OwnWorkers(1);
+  fixture.Submit(MakeJob("other", fixture.now, {.run_time = seconds(1)}));
+  const RunId run = fixture.starts[0].run;
+  fixture.AnswerStarts(CommandAnswer::kAccepted);
+  fixture.dispatcher.crashes().Learn(
+      {.task = "job.0.0.0", .life = 1, .role = CrashRole::kAlone}, fixture.now);
+  fixture.Submit(MakeJob("job", fixture.now,
+                         {.longest_wait = seconds(20), .stretch = 50}));
+  CHECK_EQUAL(0U, fixture.finished.size());
+  fixture.dispatcher.crashes().Learn(
+      {.task = "job.0.0.0", .life = 2, .role = CrashRole::kAlone}, fixture.now);
+  fixture.Advance(milliseconds(10));
+  fixture.AnswerRenewals({.ended = {{1, run, RunEnd::kDone}}});
+  CHECK_EQUAL(0U, fixture.starts.size());
+  CHECK_EQUAL(2U, fixture.finished.size());
+  CHECK(fixture.finished[0].result.cause == JobCause::kCrashesWorkers);
+  CHECK(fixture.finished[0].result.outcome == JobOutcome::kFailed);
+}
+
 }  // namespace mustardbank
