LibSchedule, LibLease: Use the terms incarnation and exclusive

Wording only: a life of a worker is an incarnation, as elsewhere; a suspect gets a worker exclusively. No decision changes.

--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -39,9 +39,9 @@
   std::uint64_t runs_lost = 0;  // with their worker
   // Starts of tasks under which one or more workers were lost.
   std::uint64_t starts_after_loss = 0;
-  std::uint64_t lone_starts = 0;            // of tasks suspected of crashes
-  std::uint64_t lone_starts_ended = 0;      // without a crash
-  std::uint64_t unreadable_capacities = 0;  // in reports of workers
+  std::uint64_t exclusive_starts = 0;        // of tasks suspected of crashes
+  std::uint64_t exclusive_starts_ended = 0;  // without a crash
+  std::uint64_t unreadable_capacities = 0;   // in reports of workers
   std::uint64_t runs_vanished = 0;  // reported neither as running nor as ended
   std::uint64_t stragglers = 0;
   std::array<std::uint64_t, kStragglerKindNames.names.size()> straggler_kinds{};
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -157,9 +157,9 @@
     bool was_started = false;  // a start command was issued
     bool is_late = false;      // could not meet its objective on arrival
     bool is_held = false;  // waits as it must leave capacity to other queues
-    bool awaits_lone_worker = false;  // only for tasks that must run alone
-    bool is_hopeless = false;  // such a task can't end before the deadline
-    bool has_cause = false;    // a task that crashes its workers
+    bool awaits_exclusive_worker = false;  // only for tasks that must run alone
+    bool is_out_of_time = false;  // such a task can't end before the deadline
+    bool has_cause = false;       // a task that crashes its workers
   };
 
   // Late jobs come after all others.
@@ -199,10 +199,10 @@
   bool StartWaiting(Job& job, Time now);
   // Starts a task that must not share a worker, if one is free for it. Returns
   // whether there is still time for it.
-  bool StartAlone(Job& job,
-                  std::size_t index,
-                  const PlacementQuery& query,
-                  Time now);
+  bool StartExclusively(Job& job,
+                        std::size_t index,
+                        const PlacementQuery& query,
+                        Time now);
   static std::string TaskNameOf(const Job& job, std::size_t index);
   bool HasCause(const Job& job) const;
   void BlockTasksThatRun(Job& job) const;
@@ -237,14 +237,14 @@
   void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
   // Logs and records that the worker was lost with all its runs.
-  void NoteLoss(LeasedWorker& worker, LossEvidence evidence, Time now);
+  void DidLoseWorker(LeasedWorker& worker, LossEvidence evidence, Time now);
   // Whether the worker's process is gone, as opposed to unreachable.
   bool HasCrashed(const LeasedWorker& worker) const;
   void RecordLoss(LeasedWorker& worker, bool is_certain, Time now);
   // Records crashes before the leases of the runs have lapsed, so that other
   // processes know of them by then.
   void RecordCrashes(Time now);
-  void DidOutliveStart(const LeasedRun& run, Time now);
+  void DidEndByItself(const LeasedRun& run, Time now);
   void CountCrash(const LeasedWorker& worker,
                   const std::vector<std::string>& blamed,
                   Time now);
@@ -256,12 +256,12 @@
   Time EarliestRisk(const std::string& queue, double share, Time now) const;
   // The worker that is kept for the task, which may still have other runs. Null
   // if no worker can be kept now.
-  LeasedWorker* KeepLoneWorker(const std::string& task,
-                               const PlacementQuery& query,
-                               Time now);
-  void ReleaseLoneWorker(const std::string& task);
+  LeasedWorker* ReserveWorker(const std::string& task,
+                              const PlacementQuery& query,
+                              Time now);
+  void ReleaseWorker(const std::string& task);
   // Releases workers that are kept for tasks that no longer wait for them.
-  void ReleaseIdleLoneWorkers();
+  void ReleaseUnneededWorkers();
   // Ends all runs, since their lease has lapsed. Keeps the capacity of those
   // that may still start.
   void LapseAllRuns(LeasedWorker& worker, Time now);
@@ -317,7 +317,7 @@
   CrashHistory crashes_;
   CrashLimits crash_limits_;
   std::set<std::string> blamed_queues_;
-  std::map<std::string, std::string> lone_workers_;  // by task
+  std::map<std::string, std::string> reserved_workers_;  // by task
   QueueShares shares_;
   bool limits_queues_ = true;
   AnswerTimeout answer_timeout_;  // of starts and stops
--- a/Libraries/LibLease/lease_dispatcher_crashes.cc
+++ b/Libraries/LibLease/lease_dispatcher_crashes.cc
@@ -14,7 +14,7 @@
 // Of the names of tasks in one line of the log.
 constexpr std::size_t kMostLoggedTaskBytes = 200;
 // One in this many usable workers may be kept for a single suspected task.
-constexpr std::size_t kWorkersPerLoneTask = 4;
+constexpr std::size_t kWorkersPerExclusiveTask = 4;
 // Of all workers, that a queue may lose however great the load is.
 constexpr double kLeastCrashShare = 1.0 / 8;
 // Of other queues, in shares of all workers, that is worth protecting.
@@ -22,9 +22,9 @@
 
 }  // namespace
 
-void LeaseDispatcher::NoteLoss(LeasedWorker& worker,
-                               LossEvidence evidence,
-                               Time now) {
+void LeaseDispatcher::DidLoseWorker(LeasedWorker& worker,
+                                    LossEvidence evidence,
+                                    Time now) {
   const bool is_certain = evidence == LossEvidence::kReplaced ||
                           evidence == LossEvidence::kRestarted ||
                           HasCrashed(worker);
@@ -63,13 +63,14 @@
 void LeaseDispatcher::RecordLoss(LeasedWorker& worker,
                                  bool is_certain,
                                  Time now) {
-  const WorkerLife life = worker.Life();
-  if (worker.lost == life) {
+  const IncarnationId incarnation = worker.IncarnationKey();
+  if (worker.lost == incarnation) {
     if (is_certain)
-      crashes_.Confirm(life);
+      crashes_.Confirm(incarnation);
     return;
   }
-  CrashHistory::Crash crash{.life = life, .is_certain = is_certain};
+  CrashHistory::Crash crash{.incarnation = incarnation,
+                            .is_certain = is_certain};
   for (const auto& [task, run] : worker.runs)
     crash.runs.push_back({.task = task, .started = run.started});
   for (const auto& [task, start] : worker.unsettled_starts)
@@ -79,12 +80,12 @@
     crash.runs.push_back({.task = task, .started = Time::min()});
   if (crash.runs.empty())
     return;
-  worker.lost = life;
+  worker.lost = incarnation;
   const std::vector<std::string> blamed = crashes_.DidCrash(crash, now);
   if (is_certain)
     CountCrash(worker, blamed, now);
   for (const std::string& task : blamed) {
-    ReleaseLoneWorker(task);
+    ReleaseWorker(task);
     const auto verdict = crashes_.VerdictOf(task);
     log_.Write(LogEvent::kTaskBlamed, now, LogBudget::kState)
         .Add(LogField::kTask, task)
@@ -98,14 +99,14 @@
 void LeaseDispatcher::RecordCrashes(Time now) {
   for (auto& [id, worker] : workers_) {
     if (worker.phase == WorkerPhase::kDown && !worker.IsIdle() &&
-        worker.lost != worker.Life() && HasCrashed(worker))
+        worker.lost != worker.IncarnationKey() && HasCrashed(worker))
       RecordLoss(worker, /*is_certain=*/true, now);
   }
 }
 
-void LeaseDispatcher::DidOutliveStart(const LeasedRun& run, Time now) {
+void LeaseDispatcher::DidEndByItself(const LeasedRun& run, Time now) {
   if (crashes_.VerdictOf(run.id.task) != CrashHistory::Verdict::kClear) {
-    ++counters_.lone_starts_ended;
+    ++counters_.exclusive_starts_ended;
     crash_limits_.DidTry(run.queue, /*has_crashed=*/false, now);
   }
   crashes_.DidEnd(run.id.task);
@@ -149,45 +150,46 @@
                                     now);
 }
 
-LeasedWorker* LeaseDispatcher::KeepLoneWorker(const std::string& task,
-                                              const PlacementQuery& query,
-                                              Time now) {
-  if (const auto it = lone_workers_.find(task); it != lone_workers_.end()) {
+LeasedWorker* LeaseDispatcher::ReserveWorker(const std::string& task,
+                                             const PlacementQuery& query,
+                                             Time now) {
+  if (const auto it = reserved_workers_.find(task);
+      it != reserved_workers_.end()) {
     const auto worker = workers_.find(it->second);
-    if (worker != workers_.end() && worker->second.lone_task == task &&
+    if (worker != workers_.end() && worker->second.reserved_for == task &&
         worker->second.IsAvailable(timing_, now, query.is_job_started))
       return &worker->second;
-    ReleaseLoneWorker(task);
+    ReleaseWorker(task);
   }
   const auto usable = static_cast<std::size_t>(
       std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
         return entry.second.IsAvailable(timing_, now, false);
       }));
-  if (lone_workers_.size() >=
-      std::max<std::size_t>(1, usable / kWorkersPerLoneTask))
+  if (reserved_workers_.size() >=
+      std::max<std::size_t>(1, usable / kWorkersPerExclusiveTask))
     return nullptr;
-  LeasedWorker* worker = ChooseLoneWorker(workers_, query, now);
+  LeasedWorker* worker = ChooseExclusiveWorker(workers_, query, now);
   if (!worker)
     return nullptr;
-  worker->lone_task = task;
-  lone_workers_[task] = worker->entry.id;
+  worker->reserved_for = task;
+  reserved_workers_[task] = worker->entry.id;
   return worker;
 }
 
-void LeaseDispatcher::ReleaseLoneWorker(const std::string& task) {
-  const auto it = lone_workers_.find(task);
-  if (it == lone_workers_.end())
+void LeaseDispatcher::ReleaseWorker(const std::string& task) {
+  const auto it = reserved_workers_.find(task);
+  if (it == reserved_workers_.end())
     return;
   const auto worker = workers_.find(it->second);
-  if (worker != workers_.end() && worker->second.lone_task == task)
-    worker->second.lone_task.clear();
-  lone_workers_.erase(it);
+  if (worker != workers_.end() && worker->second.reserved_for == task)
+    worker->second.reserved_for.clear();
+  reserved_workers_.erase(it);
   schedule_due_ = true;
 }
 
-void LeaseDispatcher::ReleaseIdleLoneWorkers() {
+void LeaseDispatcher::ReleaseUnneededWorkers() {
   std::vector<std::string> released;
-  for (const auto& [task, worker] : lone_workers_) {
+  for (const auto& [task, worker] : reserved_workers_) {
     const auto job = jobs_.find(std::string(JobOf(task)));
     const auto it = workers_.find(worker);
     const bool runs = it != workers_.end() && it->second.runs.contains(task);
@@ -196,7 +198,7 @@
       released.push_back(task);
   }
   for (const std::string& task : released)
-    ReleaseLoneWorker(task);
+    ReleaseWorker(task);
 }
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -31,8 +31,8 @@
 // Tasks that wait are tried again at least this often.
 constexpr Duration kScheduleInterval = std::chrono::milliseconds(20);
 
-// Labels of a metric are kept for the life of the process; queues beyond this
-// number share one.
+// Labels of a metric are kept for the life of the process; queues beyond
+// this number share one.
 constexpr std::size_t kMostQueueLabels = 32;
 constexpr const char* kOtherQueues = "other";
 
@@ -287,7 +287,7 @@
 bool LeaseDispatcher::FitsNow(const Job& job, Time now) const {
   if (std::any_of(queue_.begin(), queue_.end(), [&](const QueueKey& key) {
         const Job& queued = jobs_.at(key.job);
-        return !queued.is_held && !queued.awaits_lone_worker;
+        return !queued.is_held && !queued.awaits_exclusive_worker;
       }))
     return false;
   // Only the first group is checked: it starts now, and most jobs have groups
@@ -325,7 +325,7 @@
     if (key > KeyOf(job))
       break;
     const Job& ahead = jobs_.at(key.job);
-    if (ahead.awaits_lone_worker)
+    if (ahead.awaits_exclusive_worker)
       continue;
     const double share = static_cast<double>(ahead.waiting) /
                          static_cast<double>(ahead.tasks.size());
@@ -361,10 +361,10 @@
   if (are_starts_held_)
     return;
   schedule_due_ = false;
-  ReleaseIdleLoneWorkers();
+  ReleaseUnneededWorkers();
   blamed_queues_ = crash_limits_.Blamed(now);
   std::vector<QueueKey> emptied;
-  std::vector<std::string> hopeless;
+  std::vector<std::string> out_of_time;
   std::vector<std::string> crashing;
   std::optional<QueueUses> running;  // empty after a change
   for (const QueueKey& key : queue_) {
@@ -382,14 +382,14 @@
       running.reset();
     if (!is_waiting)
       emptied.push_back(key);
-    if (job.is_hopeless)
-      hopeless.push_back(key.job);
+    if (job.is_out_of_time)
+      out_of_time.push_back(key.job);
     if (job.has_cause)
       crashing.push_back(key.job);
   }
   for (const QueueKey& key : emptied)
     queue_.erase(key);
-  for (const std::string& job : hopeless)
+  for (const std::string& job : out_of_time)
     Cancel(job, JobCause::kRunsLost, now);
   for (const std::string& job : crashing)
     Finish(job,
@@ -399,7 +399,7 @@
 
 // Returns whether tasks are still waiting.
 bool LeaseDispatcher::StartWaiting(Job& job, Time now) {
-  job.awaits_lone_worker = false;
+  job.awaits_exclusive_worker = false;
   for (std::size_t i = 0; i < job.tasks.size() && job.waiting > 0; ++i) {
     const Task& task = job.tasks[i];
     if (!IsReady(job, task))
@@ -424,8 +424,8 @@
     if (job.has_cause)
       break;
     if (verdict == CrashHistory::Verdict::kSuspect) {
-      job.is_hopeless = !StartAlone(job, i, query, now);
-      if (job.is_hopeless)
+      job.is_out_of_time = !StartExclusively(job, i, query, now);
+      if (job.is_out_of_time)
         break;
       continue;
     }
@@ -433,7 +433,7 @@
     // The job's other tasks would wait as well. Judging each of them is too
     // dear for owners with a tenth of a core.
     if (!worker || IsWorthWaiting(job, task, *worker, now)) {
-      job.awaits_lone_worker = false;
+      job.awaits_exclusive_worker = false;
       break;
     }
     StartTask(job, i, *worker, now);
@@ -441,22 +441,22 @@
   return job.waiting > 0;
 }
 
-bool LeaseDispatcher::StartAlone(Job& job,
-                                 std::size_t index,
-                                 const PlacementQuery& query,
-                                 Time now) {
+bool LeaseDispatcher::StartExclusively(Job& job,
+                                       std::size_t index,
+                                       const PlacementQuery& query,
+                                       Time now) {
   const Time earliest = EarliestRisk(job.request.policy.name, kTrialShare, now);
   if (earliest > now) {
-    job.awaits_lone_worker = true;
+    job.awaits_exclusive_worker = true;
     return earliest + query.run_time < job.request.deadline;
   }
-  LeasedWorker* worker = KeepLoneWorker(TaskNameOf(job, index), query, now);
+  LeasedWorker* worker = ReserveWorker(TaskNameOf(job, index), query, now);
   if (worker && worker->IsIdle() && worker->unsettled_starts.empty()) {
-    ++counters_.lone_starts;
+    ++counters_.exclusive_starts;
     StartTask(job, index, *worker, now);
     return true;
   }
-  job.awaits_lone_worker = true;
+  job.awaits_exclusive_worker = true;
   return now + query.run_time < job.request.deadline;
 }
 
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -55,10 +55,11 @@
 }
 
 void LeaseDispatcher::LapseAllRuns(LeasedWorker& worker, Time now) {
-  NoteLoss(worker,
-           worker.phase == WorkerPhase::kDown ? LossEvidence::kRefusedConnection
-                                              : LossEvidence::kSilent,
-           now);
+  DidLoseWorker(worker,
+                worker.phase == WorkerPhase::kDown
+                    ? LossEvidence::kRefusedConnection
+                    : LossEvidence::kSilent,
+                now);
   for (const auto& [task, run] : worker.runs) {
     if (!run.was_seen)
       worker.unsettled_starts[task] = {
@@ -91,9 +92,9 @@
   schedule_due_ = true;
   ++counters_.ends[static_cast<std::size_t>(end)];
   Unblock(run);
-  ReleaseLoneWorker(run.id.task);
+  ReleaseWorker(run.id.task);
   if (end == RunEnd::kDone || end == RunEnd::kFailed)
-    DidOutliveStart(run, now);
+    DidEndByItself(run, now);
   const auto job_it = jobs_.find(run.job);
   log_.Write(LogEvent::kTaskEnded, now)
       .Add(LogField::kJob, run.job)
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -81,7 +81,7 @@
   it->second.unlisted = true;
   if (!it->second.IsIdle() && now < it->second.lapsed_at)
     return;
-  NoteLoss(it->second, LossEvidence::kUnlisted, now);
+  DidLoseWorker(it->second, LossEvidence::kUnlisted, now);
   EndAllRuns(it->second, RunEnd::kLapsed, now);
   log_.Write(LogEvent::kWorkerRemoved, now, LogBudget::kState)
       .Add(LogField::kWorker, id)
@@ -261,7 +261,7 @@
 // tasks is gone, so its runs have ended.
 void LeaseDispatcher::DidFindReplaced(LeasedWorker& worker, Time now) {
   DidFindDown(worker, now);
-  NoteLoss(worker, LossEvidence::kReplaced, now);
+  DidLoseWorker(worker, LossEvidence::kReplaced, now);
   worker.foreign_tasks.clear();
   worker.unsettled_starts.clear();
   EndAllRuns(worker, RunEnd::kLapsed, now);
@@ -281,15 +281,15 @@
     worker.acknowledged_sent = 0;
     if (worker.incarnation != 0) {
       speeds_.Forget(worker.entry.id);
-      NoteLoss(worker, LossEvidence::kRestarted, now);
+      DidLoseWorker(worker, LossEvidence::kRestarted, now);
       crash_limits_.DidReturn(worker.entry.id);
     }
     worker.has_report = false;
     worker.reported_capacity.reset();
   }
   worker.incarnation = report.incarnation;
-  if (worker.lost == worker.Life()) {
-    crashes_.Withdraw(worker.Life());
+  if (worker.lost == worker.IncarnationKey()) {
+    crashes_.Withdraw(worker.IncarnationKey());
     worker.lost.reset();
   }
   ReadCapacity(worker, report, now);
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -103,9 +103,10 @@
   OutcomeHealth outcome_health;
   // A task that must not share the worker runs here, or will once the other
   // runs have ended.
-  std::string lone_task;
-  Time down_since;                 // while nothing listens at its address
-  std::optional<WorkerLife> lost;  // the life that was recorded as lost
+  std::string reserved_for;
+  Time down_since;  // while nothing listens at its address
+  std::optional<IncarnationId>
+      lost;  // the incarnation that was recorded as lost
   // Its data centre is evacuated. Tasks of jobs that have started may still
   // start here before `last_starts_until`.
   bool is_evacuated = false;
@@ -139,7 +140,7 @@
   bool CanStart(const LeaseTiming& timing,
                 Time now,
                 bool is_job_started = false) const {
-    return lone_task.empty() && IsAvailable(timing, now, is_job_started);
+    return reserved_for.empty() && IsAvailable(timing, now, is_job_started);
   }
 
   // Whether a task may start, but for a task that the worker is kept for.
@@ -165,9 +166,9 @@
     return false;
   }
 
-  WorkerLife Life() const {
-    return WorkerLifeOf(entry.id,
-                        incarnation != 0 ? incarnation : entry.incarnation);
+  IncarnationId IncarnationKey() const {
+    return IncarnationIdOf(entry.id,
+                           incarnation != 0 ? incarnation : entry.incarnation);
   }
 
   bool IsIdle() const { return runs.empty() && foreign_tasks.empty(); }
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -79,13 +79,14 @@
   return choice ? usable[*choice] : nullptr;
 }
 
-LeasedWorker* ChooseLoneWorker(std::map<std::string, LeasedWorker>& workers,
-                               const PlacementQuery& query,
-                               Time now) {
+LeasedWorker* ChooseExclusiveWorker(
+    std::map<std::string, LeasedWorker>& workers,
+    const PlacementQuery& query,
+    Time now) {
   LeasedWorker* chosen = nullptr;
   std::tuple<bool, Time, std::int64_t> chosen_rank;
   for (auto& [id, worker] : workers) {
-    if (!worker.lone_task.empty() ||
+    if (!worker.reserved_for.empty() ||
         !worker.IsAvailable(query.timing, now, query.is_job_started) ||
         !IsAllowed(worker, query) ||
         !query.group.each.FitsIn(worker.Capacity()))
--- a/Libraries/LibLease/placement.h
+++ b/Libraries/LibLease/placement.h
@@ -35,8 +35,9 @@
 
 // The worker that can run the task alone the soonest. It may have runs that
 // must end first. Null if no worker can be kept for the task.
-LeasedWorker* ChooseLoneWorker(std::map<std::string, LeasedWorker>& workers,
-                               const PlacementQuery& query,
-                               Time now);
+LeasedWorker* ChooseExclusiveWorker(
+    std::map<std::string, LeasedWorker>& workers,
+    const PlacementQuery& query,
+    Time now);
 
 }  // namespace mustardbank
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -172,10 +172,12 @@
                static_cast<double>(control.dispatcher().crashes().size()));
   writer.Count("crash_causes", "Tasks found to crash their workers",
                control.dispatcher().crashes().causes());
-  writer.Count("lone_starts", "Starts of suspected tasks, alone on a worker",
-               counters.lone_starts);
-  writer.Count("lone_starts_ended", "Of these, runs that ended without a crash",
-               counters.lone_starts_ended);
+  writer.Count("exclusive_starts",
+               "Starts of suspected tasks, alone on a worker",
+               counters.exclusive_starts);
+  writer.Count("exclusive_starts_ended",
+               "Of these, runs that ended without a crash",
+               counters.exclusive_starts_ended);
   writer.Histogram("request", "Time to the answer of a caller",
                    jobs.counters().request_time);
   writer.Histogram("queue", "Time of a job until its first task starts",
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -204,7 +204,7 @@
   json::array array;
   for (const CrashRecord& record : crashes) {
     json::object object = ToJson(record);
-    object["key"] = CrashKey(record.task, record.life);
+    object["key"] = CrashKey(record.task, record.incarnation);
     array.push_back(std::move(object));
   }
   return array;
@@ -645,7 +645,7 @@
 RowChange EncodeCrash(const CrashHistory::Change& change) {
   return {.table = kSharedTable,
           .key = std::string(kCrashPrefix) +
-                 CrashKey(change.record.task, change.record.life),
+                 CrashKey(change.record.task, change.record.incarnation),
           .value = json::serialize(ToJson(change.record)),
           .is_removal = change.is_removal};
 }
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -378,7 +378,7 @@
         .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
         .Add(LogField::kReason, row.key);
   else if (row.deleted)
-    crashes.Unlearn(record->task, record->life);
+    crashes.Unlearn(record->task, record->incarnation);
   else
     crashes.Learn(*record, now);
 }
--- a/Libraries/LibSchedule/crash_history.cc
+++ b/Libraries/LibSchedule/crash_history.cc
@@ -24,12 +24,13 @@
 
 }  // namespace
 
-WorkerLife WorkerLifeOf(const std::string& worker, std::uint64_t incarnation) {
+IncarnationId IncarnationIdOf(const std::string& worker,
+                              std::uint64_t incarnation) {
   return FastDigest(worker, incarnation);
 }
 
-std::string CrashKey(const std::string& task, WorkerLife life) {
-  return task + '/' + std::to_string(life);
+std::string CrashKey(const std::string& task, IncarnationId incarnation) {
+  return task + '/' + std::to_string(incarnation);
 }
 
 std::optional<CrashRecord> ParseCrashKey(std::string_view key) {
@@ -39,7 +40,7 @@
   CrashRecord record{.task = std::string(key.substr(0, slash))};
   const char* const end = key.data() + key.size();
   const auto [rest, error] =
-      std::from_chars(key.data() + slash + 1, end, record.life);
+      std::from_chars(key.data() + slash + 1, end, record.incarnation);
   if (error != std::errc() || rest != end)
     return std::nullopt;
   return record;
@@ -49,7 +50,7 @@
   std::size_t crashes = 0;
   bool was_alone = false;
   bool was_newest = false;
-  for (const auto& [life, entry] : entries) {
+  for (const auto& [incarnation, entry] : entries) {
     if (!entry.is_certain)
       continue;
     ++crashes;
@@ -96,7 +97,7 @@
     else if (is_suspect || run.started >= newest - kSameStart)
       role = CrashRole::kNewest;
     Add({.task = run.task,
-         .life = crash.life,
+         .incarnation = crash.incarnation,
          .role = role,
          .is_certain = crash.is_certain},
         now);
@@ -110,9 +111,9 @@
   return blamed;
 }
 
-void CrashHistory::Confirm(WorkerLife life) {
+void CrashHistory::Confirm(IncarnationId incarnation) {
   for (auto& [task, entries] : tasks_) {
-    const auto it = entries.find(life);
+    const auto it = entries.find(incarnation);
     if (it == entries.end() || it->second.is_certain)
       continue;
     it->second.is_certain = true;
@@ -125,11 +126,11 @@
 void CrashHistory::Add(const CrashRecord& record, Time now) {
   Entries& entries = tasks_[record.task];
   const Verdict before = VerdictOf(entries);
-  const auto [it, is_new] =
-      entries.try_emplace(record.life, Entry{.role = record.role,
-                                             .is_certain = record.is_certain,
-                                             .added = now,
-                                             .is_own = true});
+  const auto [it, is_new] = entries.try_emplace(
+      record.incarnation, Entry{.role = record.role,
+                                .is_certain = record.is_certain,
+                                .added = now,
+                                .is_own = true});
   if (!is_new)
     return;
   ++size_;
@@ -144,23 +145,23 @@
   const Entries& entries = tasks_.at(task);
   if (VerdictOf(entries) == Verdict::kClear)
     return;
-  for (const auto& [life, entry] : entries) {
+  for (const auto& [incarnation, entry] : entries) {
     if (!entry.is_sent && !entry.is_stored)
-      changed_.emplace(task, life);
+      changed_.emplace(task, incarnation);
   }
 }
 
-void CrashHistory::Erase(const std::string& task, WorkerLife life) {
+void CrashHistory::Erase(const std::string& task, IncarnationId incarnation) {
   const auto it = tasks_.find(task);
   if (it == tasks_.end())
     return;
-  const auto entry = it->second.find(life);
+  const auto entry = it->second.find(incarnation);
   if (entry == it->second.end())
     return;
   if (entry->second.is_sent || entry->second.is_stored)
-    changed_.emplace(task, life);
+    changed_.emplace(task, incarnation);
   else
-    changed_.erase({task, life});
+    changed_.erase({task, incarnation});
   it->second.erase(entry);
   --size_;
   if (it->second.empty())
@@ -172,23 +173,23 @@
   for (const auto& [task, entries] : tasks_) {
     if (task == cause)
       continue;
-    for (const auto& [life, entry] : tasks_.at(cause)) {
-      if (entries.contains(life))
-        explained.emplace_back(task, life);
+    for (const auto& [incarnation, entry] : tasks_.at(cause)) {
+      if (entries.contains(incarnation))
+        explained.emplace_back(task, incarnation);
     }
   }
-  for (const auto& [task, life] : explained)
-    Erase(task, life);
+  for (const auto& [task, incarnation] : explained)
+    Erase(task, incarnation);
 }
 
-void CrashHistory::Withdraw(WorkerLife life) {
+void CrashHistory::Withdraw(IncarnationId incarnation) {
   std::vector<std::string> tasks;
   for (const auto& [task, entries] : tasks_) {
-    if (entries.contains(life))
+    if (entries.contains(incarnation))
       tasks.push_back(task);
   }
   for (const std::string& task : tasks)
-    Erase(task, life);
+    Erase(task, incarnation);
 }
 
 void CrashHistory::DidEnd(const std::string& task) {
@@ -196,21 +197,21 @@
   if (it == tasks_.end())
     return;
   const Entries entries = it->second;
-  for (const auto& [life, entry] : entries)
-    Erase(task, life);
+  for (const auto& [incarnation, entry] : entries)
+    Erase(task, incarnation);
 }
 
 void CrashHistory::Learn(const CrashRecord& record, Time now) {
   const auto [it, is_new] = tasks_[record.task].try_emplace(
-      record.life, Entry{.role = record.role,
-                         .is_certain = record.is_certain,
-                         .added = now,
-                         .is_stored = true});
+      record.incarnation, Entry{.role = record.role,
+                                .is_certain = record.is_certain,
+                                .added = now,
+                                .is_stored = true});
   Entry& entry = it->second;
   if (record.is_certain || !entry.is_certain) {
     entry.is_certain = record.is_certain;
     entry.is_stored = true;
-    changed_.erase({record.task, record.life});
+    changed_.erase({record.task, record.incarnation});
   }
   if (is_new)
     ++size_;
@@ -219,28 +220,30 @@
   DropOldest();
 }
 
-void CrashHistory::Unlearn(const std::string& task, WorkerLife life) {
+void CrashHistory::Unlearn(const std::string& task, IncarnationId incarnation) {
   const auto it = tasks_.find(task);
   if (it == tasks_.end())
     return;
-  const auto entry = it->second.find(life);
+  const auto entry = it->second.find(incarnation);
   // A record that is still to be stored is newer than the removal.
-  if (entry == it->second.end() || changed_.contains({task, life}))
+  if (entry == it->second.end() || changed_.contains({task, incarnation}))
     return;
   entry->second.is_sent = false;
   entry->second.is_stored = false;
-  Erase(task, life);
+  Erase(task, incarnation);
 }
 
 std::vector<CrashHistory::Change> CrashHistory::TakeChanges(std::size_t most) {
   std::vector<Change> changes;
   while (!changed_.empty() && changes.size() < most) {
-    const auto [task, life] = *changed_.begin();
+    const auto [task, incarnation] = *changed_.begin();
     changed_.erase(changed_.begin());
     const auto it = tasks_.find(task);
-    Change change{.record = {.task = task, .life = life}, .is_removal = true};
+    Change change{.record = {.task = task, .incarnation = incarnation},
+                  .is_removal = true};
     if (it != tasks_.end()) {
-      if (const auto entry = it->second.find(life); entry != it->second.end()) {
+      if (const auto entry = it->second.find(incarnation);
+          entry != it->second.end()) {
         change.record.role = entry->second.role;
         change.record.is_certain = entry->second.is_certain;
         change.is_removal = false;
@@ -254,7 +257,7 @@
 
 void CrashHistory::ReturnChanges(const std::vector<Change>& changes) {
   for (const Change& change : changes)
-    changed_.emplace(change.record.task, change.record.life);
+    changed_.emplace(change.record.task, change.record.incarnation);
 }
 
 std::vector<CrashRecord> CrashHistory::Unstored(std::size_t most) const {
@@ -262,10 +265,10 @@
   for (const auto& [task, entries] : tasks_) {
     if (VerdictOf(entries) == Verdict::kClear)
       continue;
-    for (const auto& [life, entry] : entries) {
+    for (const auto& [incarnation, entry] : entries) {
       if (entry.is_own && !entry.is_stored && records.size() < most)
         records.push_back({.task = task,
-                           .life = life,
+                           .incarnation = incarnation,
                            .role = entry.role,
                            .is_certain = entry.is_certain});
     }
@@ -277,18 +280,18 @@
   std::vector<Key> expired;
   std::vector<Key> forgotten;
   for (const auto& [task, entries] : tasks_) {
-    for (const auto& [life, entry] : entries) {
+    for (const auto& [incarnation, entry] : entries) {
       const Duration age = now - entry.added;
       if (age > kRetention && entry.is_own)
-        expired.emplace_back(task, life);
+        expired.emplace_back(task, incarnation);
       else if (age > 2 * kRetention)
-        (removes_orphans ? expired : forgotten).emplace_back(task, life);
+        (removes_orphans ? expired : forgotten).emplace_back(task, incarnation);
     }
   }
-  for (const auto& [task, life] : expired)
-    Erase(task, life);
-  for (const auto& [task, life] : forgotten)
-    Unlearn(task, life);
+  for (const auto& [task, incarnation] : expired)
+    Erase(task, incarnation);
+  for (const auto& [task, incarnation] : forgotten)
+    Unlearn(task, incarnation);
 }
 
 void CrashHistory::DropOldest() {
@@ -296,10 +299,10 @@
     std::optional<Key> oldest;
     Time added = Time::max();
     for (const auto& [task, entries] : tasks_) {
-      for (const auto& [life, entry] : entries) {
+      for (const auto& [incarnation, entry] : entries) {
         if (entry.added < added) {
           added = entry.added;
-          oldest = Key(task, life);
+          oldest = Key(task, incarnation);
         }
       }
     }
--- a/Libraries/LibSchedule/crash_history.h
+++ b/Libraries/LibSchedule/crash_history.h
@@ -6,8 +6,8 @@
 // blamed task runs alone next. If that worker crashes as well, nothing else can
 // be the cause; if the task ends, it is cleared.
 //
-// Records are kept for each task and life of a worker. Adding one twice changes
-// nothing, so that processes can exchange them in any order.
+// Records are kept for each task and incarnation of a worker. Adding one twice
+// changes nothing, so that processes can exchange them in any order.
 #pragma once
 
 #include <cstdint>
@@ -23,10 +23,11 @@
 
 namespace mustardbank {
 
-// Identifies the life of a worker between two starts of its process.
-using WorkerLife = std::uint64_t;
+// Identifies one incarnation of a worker.
+using IncarnationId = std::uint64_t;
 
-WorkerLife WorkerLifeOf(const std::string& worker, std::uint64_t incarnation);
+IncarnationId IncarnationIdOf(const std::string& worker,
+                              std::uint64_t incarnation);
 
 // What else the worker ran when it crashed.
 enum class CrashRole {
@@ -40,7 +41,7 @@
 
 struct CrashRecord {
   std::string task;
-  WorkerLife life = 0;
+  IncarnationId incarnation = 0;
   CrashRole role = CrashRole::kBeside;
   // The worker is known to have crashed. Otherwise it may only have been
   // unreachable.
@@ -49,8 +50,8 @@
   bool operator==(const CrashRecord&) const = default;
 };
 
-// Task and worker's life of a record, as one text.
-std::string CrashKey(const std::string& task, WorkerLife life);
+// Task and worker's incarnation of a record, as one text.
+std::string CrashKey(const std::string& task, IncarnationId incarnation);
 // Empty if the text is no such key. The record has no role.
 std::optional<CrashRecord> ParseCrashKey(std::string_view key);
 
@@ -76,7 +77,7 @@
 
   // What a worker ran when it was lost.
   struct Crash {
-    WorkerLife life = 0;
+    IncarnationId incarnation = 0;
     std::vector<Run> runs;
     bool is_certain = true;
   };
@@ -84,9 +85,9 @@
   // Returns the tasks that are blamed.
   std::vector<std::string> DidCrash(const Crash& crash, Time now);
   // A loss that was not certain turns out to have been a crash.
-  void Confirm(WorkerLife life);
-  // The worker has not crashed after all: it answers, in the same life.
-  void Withdraw(WorkerLife life);
+  void Confirm(IncarnationId incarnation);
+  // The worker has not crashed after all: it answers, in the same incarnation.
+  void Withdraw(IncarnationId incarnation);
   // A run of the task ended, and its worker is still up.
   void DidEnd(const std::string& task);
   Verdict VerdictOf(const std::string& task) const;
@@ -95,7 +96,7 @@
 
   // Records of other processes.
   void Learn(const CrashRecord& record, Time now);
-  void Unlearn(const std::string& task, WorkerLife life);
+  void Unlearn(const std::string& task, IncarnationId incarnation);
   // Takes changes to store, of at most `most` records. The caller returns those
   // that it could not store.
   std::vector<Change> TakeChanges(std::size_t most);
@@ -127,12 +128,12 @@
     bool is_sent = false;    // to the store
     bool is_stored = false;  // came back from the store
   };
-  using Entries = std::map<WorkerLife, Entry>;
-  using Key = std::pair<std::string, WorkerLife>;
+  using Entries = std::map<IncarnationId, Entry>;
+  using Key = std::pair<std::string, IncarnationId>;
 
   static Verdict VerdictOf(const Entries& entries);
   void Add(const CrashRecord& record, Time now);
-  void Erase(const std::string& task, WorkerLife life);
+  void Erase(const std::string& task, IncarnationId incarnation);
   void MarkTask(const std::string& task);
   // Clears the tasks that shared these lives with the cause.
   void ClearOthers(const std::string& cause);
--- a/Tests/LibLease/crash_test.cc
+++ b/Tests/LibLease/crash_test.cc
@@ -88,10 +88,11 @@
 
 TEST(Crash, known_cause_is_failed_without_a_start) {
   OwnWorkers(3);
-  for (WorkerLife life = 1; life <= 2; ++life)
-    fixture.dispatcher.crashes().Learn(
-        {.task = "job.0.0.2", .life = life, .role = CrashRole::kAlone},
-        fixture.now);
+  for (IncarnationId incarnation = 1; incarnation <= 2; ++incarnation)
+    fixture.dispatcher.crashes().Learn({.task = "job.0.0.2",
+                                        .incarnation = incarnation,
+                                        .role = CrashRole::kAlone},
+                                       fixture.now);
   fixture.Submit(MakeJob("job", fixture.now, {.tasks = 4}));
   CHECK_EQUAL(0U, fixture.starts.size());
   CHECK_EQUAL(1U, fixture.finished.size());
@@ -102,7 +103,7 @@
 TEST(Crash, suspect_of_another_owner_shares_no_worker) {
   OwnWorkers(1);
   fixture.dispatcher.crashes().Learn(
-      {.task = "suspect.0.0.0", .life = 1, .role = CrashRole::kAlone},
+      {.task = "suspect.0.0.0", .incarnation = 1, .role = CrashRole::kAlone},
       fixture.now);
   fixture.Submit(MakeJob("suspect", fixture.now));
   CHECK_EQUAL(1U, fixture.starts.size());
@@ -117,7 +118,7 @@
 TEST(Crash, suspect_waits_until_its_worker_is_idle) {
   OwnWorkers(1);
   fixture.dispatcher.crashes().Learn(
-      {.task = "suspect.0.0.0", .life = 1, .role = CrashRole::kAlone},
+      {.task = "suspect.0.0.0", .incarnation = 1, .role = CrashRole::kAlone},
       fixture.now);
   fixture.Submit(MakeJob("other", fixture.now));
   const RunId run = fixture.starts[0].run;
@@ -191,7 +192,7 @@
      suspect_that_finds_no_worker_in_time_is_given_up_before_its_deadline) {
   OwnWorkers(1);
   fixture.dispatcher.crashes().Learn(
-      {.task = "suspect.0.0.1", .life = 1, .role = CrashRole::kAlone},
+      {.task = "suspect.0.0.1", .incarnation = 1, .role = CrashRole::kAlone},
       fixture.now);
   fixture.Submit(MakeJob("suspect", fixture.now,
                          {.tasks = 2, .run_time = milliseconds(500)}));
@@ -233,12 +234,14 @@
   const RunId run = fixture.starts[0].run;
   fixture.AnswerStarts(CommandAnswer::kAccepted);
   fixture.dispatcher.crashes().Learn(
-      {.task = "job.0.0.0", .life = 1, .role = CrashRole::kAlone}, fixture.now);
+      {.task = "job.0.0.0", .incarnation = 1, .role = CrashRole::kAlone},
+      fixture.now);
   fixture.Submit(MakeJob("job", fixture.now,
                          {.longest_wait = seconds(20), .stretch = 50}));
   CHECK_EQUAL(0U, fixture.finished.size());
   fixture.dispatcher.crashes().Learn(
-      {.task = "job.0.0.0", .life = 2, .role = CrashRole::kAlone}, fixture.now);
+      {.task = "job.0.0.0", .incarnation = 2, .role = CrashRole::kAlone},
+      fixture.now);
   fixture.Advance(milliseconds(10));
   fixture.AnswerRenewals({.ended = {{1, run, RunEnd::kDone}}});
   CHECK_EQUAL(0U, fixture.starts.size());
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -303,13 +303,14 @@
 }
 
 TEST(LeaseControl, crashes_found_by_a_peer_without_store_are_known) {
-  control.DidReceiveHeartbeat(
-      {.name = "peer",
-       .crashes = {{.task = "job.0.0.0", .life = 1, .role = CrashRole::kAlone},
-                   {.task = "job.0.0.0",
-                    .life = 2,
-                    .role = CrashRole::kAlone}}},
-      now);
+  control.DidReceiveHeartbeat({.name = "peer",
+                               .crashes = {{.task = "job.0.0.0",
+                                            .incarnation = 1,
+                                            .role = CrashRole::kAlone},
+                                           {.task = "job.0.0.0",
+                                            .incarnation = 2,
+                                            .role = CrashRole::kAlone}}},
+                              now);
   control.Submit(MakeJob("job", 1), now);
   control.Pump(now);
   CHECK_EQUAL(1U, finished.size());
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -189,7 +189,7 @@
                    .busy = {"a"}}},
        .store_version = 12,
        .silent_owners = {"other"},
-       .crashes = {{.task = "00000000000000ab.0.0.1", .life = 17}}});
+       .crashes = {{.task = "00000000000000ab.0.0.1", .incarnation = 17}}});
   ForMutations(recorded, 1, [&](const std::string& message) {
     const auto heartbeat = DecodeHeartbeat(message);
     if (!heartbeat)
@@ -296,8 +296,8 @@
 }
 
 TEST(MutatedMessages, rows_of_crashes) {
-  const RowChange crash =
-      EncodeCrash({.record = {.task = "00000000000000ab.0.0.1", .life = 17}});
+  const RowChange crash = EncodeCrash(
+      {.record = {.task = "00000000000000ab.0.0.1", .incarnation = 17}});
   ForMutations(crash.value, 15, [&](const std::string& message) {
     const auto decoded = DecodeCrash({.key = crash.key, .value = message});
     if (decoded)
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -102,7 +102,7 @@
 
 TEST(PeerCodec, crashes_survive_a_row_and_a_heartbeat) {
   const CrashRecord record{.task = "job.0.0.3",
-                           .life = 0xFFFF'FFFF'FFFF'FFF1U,
+                           .incarnation = 0xFFFF'FFFF'FFFF'FFF1U,
                            .role = CrashRole::kNewest,
                            .is_certain = false};
   const RowChange change = EncodeCrash({.record = record});
--- a/Tests/LibSchedule/crash_history_test.cc
+++ b/Tests/LibSchedule/crash_history_test.cc
@@ -20,13 +20,16 @@
     return {.task = task, .started = now - milliseconds(age_ms)};
   }
 
-  void Crash(WorkerLife life, std::vector<CrashHistory::Run> runs) {
-    history.DidCrash({.life = life, .runs = std::move(runs)}, now);
+  void Crash(IncarnationId incarnation, std::vector<CrashHistory::Run> runs) {
+    history.DidCrash({.incarnation = incarnation, .runs = std::move(runs)},
+                     now);
   }
 
-  void Lose(WorkerLife life, std::vector<CrashHistory::Run> runs) {
-    history.DidCrash(
-        {.life = life, .runs = std::move(runs), .is_certain = false}, now);
+  void Lose(IncarnationId incarnation, std::vector<CrashHistory::Run> runs) {
+    history.DidCrash({.incarnation = incarnation,
+                      .runs = std::move(runs),
+                      .is_certain = false},
+                     now);
   }
 
   void CheckVerdict(Verdict expected, const std::string& task) const {
@@ -40,7 +43,7 @@
     for (const CrashHistory::Change& change : history.TakeChanges(1000)) {
       for (CrashHistory* reader : {&other, &history}) {
         if (change.is_removal)
-          reader->Unlearn(change.record.task, change.record.life);
+          reader->Unlearn(change.record.task, change.record.incarnation);
         else
           reader->Learn(change.record, now);
       }
@@ -111,9 +114,10 @@
 
 // Guards against endless starts where crashed workers stay silent.
 TEST(CrashHistory, task_under_which_four_workers_were_lost_is_given_up) {
-  for (WorkerLife life = 1; life <= 4; ++life) {
+  for (IncarnationId incarnation = 1; incarnation <= 4; ++incarnation) {
     CHECK(history.VerdictOf("a") != Verdict::kCause);
-    Lose(life, {At("a", 5), At("other" + std::to_string(life), 5)});
+    Lose(incarnation,
+         {At("a", 5), At("other" + std::to_string(incarnation), 5)});
   }
   CheckVerdict(Verdict::kCause, "a");
 }
@@ -139,7 +143,7 @@
   CrashHistory other;
   Crash(1, {At("a", 5)});
   Exchange(other);
-  other.DidCrash({.life = 2, .runs = {At("a", 5)}}, now);
+  other.DidCrash({.incarnation = 2, .runs = {At("a", 5)}}, now);
   CHECK(other.VerdictOf("a") == Verdict::kCause);
 }
 
@@ -159,11 +163,11 @@
   CheckVerdict(Verdict::kSuspect, "a");
 }
 
-TEST(CrashHistory, keys_name_the_task_and_the_life) {
+TEST(CrashHistory, keys_name_the_task_and_the_incarnation) {
   const auto record = ParseCrashKey(CrashKey("job/1.0.0.0", 17));
   CHECK(record.has_value());
   STRCMP_EQUAL("job/1.0.0.0", record->task.c_str());
-  CHECK_EQUAL(17U, record->life);
+  CHECK_EQUAL(17U, record->incarnation);
   for (const char* key : {"", "/", "a", "a/", "/5", "a/5x", "a/-5"})
     CHECK(!ParseCrashKey(key).has_value());
 }
@@ -171,11 +175,11 @@
 TEST(CrashHistory, records_lead_to_the_same_verdict_in_any_order) {
   std::mt19937 random(7);
   std::vector<CrashRecord> records{
-      {.task = "a", .life = 1, .role = CrashRole::kNewest},
-      {.task = "a", .life = 2, .role = CrashRole::kAlone},
-      {.task = "b", .life = 3, .role = CrashRole::kBeside},
-      {.task = "b", .life = 4, .role = CrashRole::kNewest},
-      {.task = "c", .life = 5, .is_certain = false}};
+      {.task = "a", .incarnation = 1, .role = CrashRole::kNewest},
+      {.task = "a", .incarnation = 2, .role = CrashRole::kAlone},
+      {.task = "b", .incarnation = 3, .role = CrashRole::kBeside},
+      {.task = "b", .incarnation = 4, .role = CrashRole::kNewest},
+      {.task = "c", .incarnation = 5, .is_certain = false}};
   for (int i = 0; i < 50; ++i) {
     CrashHistory learned;
     for (int repeat = 0; repeat < 2; ++repeat) {
@@ -203,7 +207,8 @@
 }
 
 TEST(CrashHistory, records_of_a_process_that_is_gone_are_removed) {
-  history.Learn({.task = "a", .life = 1, .role = CrashRole::kAlone}, now);
+  history.Learn({.task = "a", .incarnation = 1, .role = CrashRole::kAlone},
+                now);
   now += 2 * CrashHistory::kRetention + seconds(1);
   history.Expire(/*removes_orphans=*/true, now);
   const auto changes = history.TakeChanges(1000);
@@ -212,9 +217,10 @@
 }
 
 TEST(CrashHistory, number_of_records_is_bounded) {
-  for (WorkerLife life = 0; life < CrashHistory::kMostRecords + 20; ++life) {
+  for (IncarnationId incarnation = 0;
+       incarnation < CrashHistory::kMostRecords + 20; ++incarnation) {
     now += milliseconds(1);
-    Crash(life, {At("task" + std::to_string(life), 5)});
+    Crash(incarnation, {At("task" + std::to_string(incarnation), 5)});
   }
   CHECK_EQUAL(CrashHistory::kMostRecords, history.size());
   CheckVerdict(Verdict::kClear, "task0");
