--- a/Libraries/LibSchedule/crash_history.h
+++ b/Libraries/LibSchedule/crash_history.h
@@ -135,7 +135,7 @@
   void Add(const CrashRecord& record, Time now);
   void Erase(const std::string& task, IncarnationId incarnation);
   void MarkTask(const std::string& task);
-  // Clears the tasks that shared these lives with the cause.
+  // Clears the tasks that shared crashed workers with the cause.
   void ClearOthers(const std::string& cause);
   void DropOldest();
 
--- a/Tests/LibLease/crash_test.cc
+++ b/Tests/LibLease/crash_test.cc
@@ -13,6 +13,7 @@
 TEST_GROUP(Crash) {
   LeaseFixture fixture;
   std::set<std::string> crashed;
+  CommandAnswer answer_of_crashed = CommandAnswer::kRefusedConnection;
 
   void OwnWorkers(int count) {
     for (int i = 0; i < count; ++i)
@@ -32,9 +33,7 @@
           there.push_back(task);
       }
       fixture.dispatcher.DidRenew(
-          renewal,
-          is_down ? CommandAnswer::kRefusedConnection
-                  : CommandAnswer::kAccepted,
+          renewal, is_down ? answer_of_crashed : CommandAnswer::kAccepted,
           {.incarnation = 1, .clock_ms = NowMs(), .running = there},
           fixture.now);
     }
@@ -250,4 +249,16 @@
   CHECK(fixture.finished[0].result.outcome == JobOutcome::kFailed);
 }
 
+// Guards against a sixth start, the third after three crashes, where crashed
+// workers stay silent and come back under other ids.
+TEST(Crash, task_whose_workers_fall_silent_is_started_four_times) {
+  OwnWorkers(10);
+  answer_of_crashed = CommandAnswer::kNoAnswer;
+  fixture.Submit(
+      MakeJob("job", fixture.now, {.tasks = 1, .longest_wait = seconds(20)}));
+  const int starts = CrashEachStarted(seconds(15));
+  CHECK_EQUAL(4, starts);
+  CHECK_EQUAL(1U, fixture.finished.size());
+}
+
 }  // namespace mustardbank
