LibLease: Count on half of a worker's capacity while it can't be confirmed

Cause: a worker's capacity is only in its registration. An owner that could not read the store went on with the last one that it had read, however old.

Change: registrations carry the reading of the worker's clock. Owners know that clock from the answers of the worker, and so the age of each registration. Once it is older than the time in which a smaller capacity must be respected (bounds and heartbeat interval of the settings, less 300 ms), starts count on a share of the largest capacity registered: the setting, or the least share to which a worker shrank in the last 10 min. Requests that no share holds are refused at once. Registrations that are older, or of an earlier incarnation, never raise a capacity.

The machine list of the cloud service was tried as another source: it names the nominal capacity.

Not covered: a first shrink to less than half within an outage.

--- a/Libraries/LibConfig/lease_settings.cc
+++ b/Libraries/LibConfig/lease_settings.cc
@@ -55,6 +55,10 @@
   read("grace_s", settings.grace_s, 3600);
   read("drain_ms", settings.drain_ms, kMaxMs);
   read("configuration_ms", settings.configuration_ms, kMaxMs);
+  read("worker_heartbeat_ms", settings.worker_heartbeat_ms, kMaxMs);
+  read("capacity_notice_ms", settings.capacity_notice_ms, kMaxMs);
+  settings.unconfirmed_capacity_share = reader.OptionalNumber(
+      "unconfirmed_capacity_share", settings.unconfirmed_capacity_share, 0, 1);
   read("log_lines_per_second", settings.log_lines_per_second, 1'000'000);
   settings.queue_shares =
       reader.OptionalBool("queue_shares", settings.queue_shares);
--- a/Libraries/LibConfig/lease_settings.h
+++ b/Libraries/LibConfig/lease_settings.h
@@ -27,6 +27,14 @@
   // tasks.
   std::uint32_t drain_ms = 2000;
   std::uint32_t configuration_ms = 2000;  // time until a change is in force
+  // Between two registrations of a worker.
+  std::uint32_t worker_heartbeat_ms = 1500;
+  // Time from a registration with a smaller capacity until starts must respect
+  // it.
+  std::uint32_t capacity_notice_ms = 3000;
+  // The share of their capacity that workers are assumed to have while their
+  // registrations can't be read.
+  double unconfirmed_capacity_share = 0.5;
   std::uint32_t log_lines_per_second = 400;
   // Whether a burst of one queue must leave other queues their share of scarce
   // capacity.
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -40,10 +40,13 @@
   LeaseDispatcher(LeaseTiming timing, EventLog& log)
       : timing_(timing),
         log_(log),
+        unconfirmed_capacity_(timing.capacity),
         answer_timeout_(timing.least_command_timeout, timing.command_timeout) {}
 
   // Workers. A worker whose token or address changes is verified again.
   void Own(const WorkerEntry& entry, std::uint64_t fencing_token, Time now);
+  // An owned worker has registered again, without a change.
+  void Confirm(const WorkerEntry& entry, Time now);
   // The worker's registration was removed: starts no more tasks there and drops
   // the worker once it is idle or its leases have lapsed.
   void Unlist(const std::string& worker, Time now);
@@ -178,10 +181,12 @@
                                       AdmissionLoad load,
                                       Time latest_end,
                                       Time now);
-  bool MustLeaveCapacity(const Job& job, const QueueUses& running) const;
+  bool MustLeaveCapacity(const Job& job,
+                         const QueueUses& running,
+                         Time now) const;
   // Millicores that run, by queue. Runs whose job has ended have none.
   QueueUses RunningByQueue() const;
-  double UsableCapacity() const;
+  double UsableCapacity(Time now) const;
   static Time LatestStartOf(const Job& job);
   bool FitsNow(const Job& job, Time now) const;
   bool CanEverFit(const Job& job) const;
@@ -189,6 +194,8 @@
   bool HasWorkerFor(const Job& job,
                     const TaskGroup& group,
                     bool is_evacuated) const;
+  // Whether the capacity that starts may count on has room for each task.
+  bool HasCapacityFor(const Job& job, Time now) const;
   // Whether a waiting task of the job could be served only by evacuated
   // workers.
   bool NeedsEvacuatedWorkers(const Job& job) const;
@@ -235,6 +242,13 @@
                   const RenewReport& report,
                   Time now);
   void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
+  void ReadClock(LeasedWorker& worker, std::int64_t clock_ms, Time now);
+  // Takes over a registration. One that is older than the last, or of an
+  // earlier incarnation, never raises the capacity.
+  void ReadRegistration(LeasedWorker& worker,
+                        const WorkerEntry& entry,
+                        Time now);
+  void UpdateConfirmation(LeasedWorker& worker, Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
   // Logs and records that the worker was lost with all its runs.
   void DidLoseWorker(LeasedWorker& worker, LossEvidence evidence, Time now);
@@ -313,6 +327,7 @@
   DurationEstimator durations_;
   CallerTimeouts caller_timeouts_;
   WorkerSpeeds speeds_;
+  UnconfirmedCapacity unconfirmed_capacity_;
   Time speeds_fitted_at_;
   CrashHistory crashes_;
   CrashLimits crash_limits_;
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -88,7 +88,7 @@
   const bool has_cause = HasCause(job);
   BlockTasksThatRun(job);
   Estimate(job, now);
-  shares_.DidArrive(job.request, job.estimate, UsableCapacity(), now);
+  shares_.DidArrive(job.request, job.estimate, UsableCapacity(now), now);
   const std::optional<JobResult> refusal =
       has_cause ? JobResult{.outcome = JobOutcome::kFailed,
                             .cause = JobCause::kCrashesWorkers}
@@ -148,6 +148,11 @@
         .cause = has_workers ? JobCause::kNeverFits : JobCause::kNotOwner,
         .retry_after = kMostRetryAfter};
   }
+  // Registrations may be confirmed again at any moment, but not predictably.
+  if (!HasCapacityFor(job, now))
+    return JobResult{.outcome = JobOutcome::kRefused,
+                     .cause = JobCause::kNoRoom,
+                     .retry_after = kNoWorkerRetryAfter};
   const Time earliest = EarliestRisk(job.request.policy.name, /*share=*/1, now);
   if (earliest > now)
     return JobResult{.outcome = JobOutcome::kRefused,
@@ -209,9 +214,11 @@
 }
 
 bool LeaseDispatcher::MustLeaveCapacity(const Job& job,
-                                        const QueueUses& running) const {
+                                        const QueueUses& running,
+                                        Time now) const {
   return limits_queues_ && !job.was_started && !job.is_late &&
-         !shares_.Decide(job.request, job.estimate, UsableCapacity(), running)
+         !shares_
+              .Decide(job.request, job.estimate, UsableCapacity(now), running)
               .is_allowed;
 }
 
@@ -227,11 +234,11 @@
   return uses;
 }
 
-double LeaseDispatcher::UsableCapacity() const {
+double LeaseDispatcher::UsableCapacity(Time now) const {
   double capacity = 0;
   for (const auto& [id, worker] : workers_) {
     if (IsUsable(worker))
-      capacity += static_cast<double>(worker.Capacity().millicores);
+      capacity += static_cast<double>(worker.Capacity(now).millicores);
   }
   return capacity;
 }
@@ -251,10 +258,22 @@
     return worker.is_evacuated == is_evacuated &&
            worker.entry.service == job.request.policy.service &&
            !worker.entry.leaving && !worker.releasing &&
-           group.each.FitsIn(worker.Capacity());
+           group.each.FitsIn(worker.LastCapacity());
   });
 }
 
+bool LeaseDispatcher::HasCapacityFor(const Job& job, Time now) const {
+  const auto fits = [&](const TaskGroup& group) {
+    return std::any_of(
+        workers_.begin(), workers_.end(), [&](const auto& entry) {
+          return entry.second.entry.service == job.request.policy.service &&
+                 group.each.FitsIn(entry.second.Capacity(now));
+        });
+  };
+  return std::all_of(job.request.groups.begin(), job.request.groups.end(),
+                     fits);
+}
+
 bool LeaseDispatcher::NeedsEvacuatedWorkers(const Job& job) const {
   if (evacuated_.empty())
     return false;
@@ -297,7 +316,7 @@
   for (const auto& [id, worker] : workers_) {
     if (!worker.CanStart(timing_, now))
       continue;
-    const Resources free_capacity = worker.FreeCapacity();
+    const Resources free_capacity = worker.FreeCapacity(now);
     if (group.each.FitsIn(free_capacity))
       places += worker.IsCold(now)
                     ? 1
@@ -312,10 +331,11 @@
   for (const auto& [id, worker] : workers_) {
     if (!IsUsable(worker))
       continue;
-    load.capacity += static_cast<double>(worker.Capacity().millicores);
+    load.capacity += static_cast<double>(worker.Capacity(now).millicores);
     // A cold worker gets no second task.
     if (worker.runs.empty() || !worker.IsCold(now))
-      load.free += static_cast<double>(worker.FreeCapacity().millicores);
+      load.free += static_cast<double>(
+          std::max<std::int64_t>(0, worker.FreeCapacity(now).millicores));
     for (const auto& [task, run] : worker.runs) {
       load.runs.push_back(
           {TimeLeft(run, now), static_cast<double>(run.size.millicores)});
@@ -372,7 +392,7 @@
     if (limits_queues_) {
       if (!running)
         running = RunningByQueue();
-      job.is_held = MustLeaveCapacity(job, *running);
+      job.is_held = MustLeaveCapacity(job, *running, now);
       if (job.is_held)
         continue;
     }
@@ -501,7 +521,7 @@
     if (factor_there >= factor || !worker.CanStart(timing_, now) ||
         worker.entry.service != here.entry.service || id == task.avoided)
       continue;
-    const Resources free_capacity = worker.FreeCapacity();
+    const Resources free_capacity = worker.FreeCapacity(now);
     for (const auto& [name, run] : worker.runs) {
       Resources freed = free_capacity;
       freed += run.size;
@@ -542,7 +562,7 @@
       .Add(LogField::kRun, run.number)
       .Add(LogField::kWorker, worker.entry.id)
       .Add(LogField::kToken, worker.fencing_token)
-      .Add(LogField::kRoom, worker.FreeCapacity().millicores)
+      .Add(LogField::kRoom, worker.FreeCapacity(now).millicores)
       .Add(LogField::kSize, group.each.millicores)
       .Add(LogField::kAgeMs, now - worker.answered_at)
       .Add(LogField::kFactorPercent, FactorPercent(worker))
@@ -733,8 +753,9 @@
   for (const auto& [id, worker] : workers_) {
     if (are_starts_held_ || !worker.CanStart(timing_, now))
       continue;
-    load.capacity_millicores += worker.Capacity().millicores;
-    load.free_millicores += worker.FreeCapacity().millicores;
+    load.capacity_millicores += worker.Capacity(now).millicores;
+    load.free_millicores +=
+        std::max<std::int64_t>(0, worker.FreeCapacity(now).millicores);
   }
   for (const QueueKey& key : queue_) {
     const Job& job = jobs_.at(key.job);
--- a/Libraries/LibLease/lease_dispatcher_runs.cc
+++ b/Libraries/LibLease/lease_dispatcher_runs.cc
@@ -241,7 +241,7 @@
   for (const auto& [id, worker] : workers_) {
     if (&worker == &except || worker.entry.service != except.entry.service ||
         !worker.CanStart(timing_, now) ||
-        !run.size.FitsIn(worker.FreeCapacity()))
+        !run.size.FitsIn(worker.FreeCapacity(now)))
       continue;
     const double factor = speeds_.SpeedOf(id).factor();
     best = std::min(factor, best.value_or(factor));
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -35,7 +35,7 @@
   if (is_new || worker.entry != entry)
     worker.cold_until = now + entry.cold.remaining;
   worker.fencing_token = fencing_token;
-  worker.entry = entry;
+  ReadRegistration(worker, entry, now);
   const auto evacuated = evacuated_.find(entry.data_center);
   worker.is_evacuated = evacuated != evacuated_.end();
   worker.last_starts_until =
@@ -48,6 +48,61 @@
   schedule_due_ = true;
 }
 
+void LeaseDispatcher::Confirm(const WorkerEntry& entry, Time now) {
+  const auto it = workers_.find(entry.id);
+  if (it == workers_.end() ||
+      it->second.entry.registered.ms >= entry.registered.ms)
+    return;
+  const bool was_confirmed = now <= it->second.confirmed_until;
+  ReadRegistration(it->second, entry, now);
+  schedule_due_ = schedule_due_ || !was_confirmed;
+}
+
+void LeaseDispatcher::ReadRegistration(LeasedWorker& worker,
+                                       const WorkerEntry& entry,
+                                       Time now) {
+  const bool is_first = worker.entry.id.empty();
+  const bool is_older = entry.incarnation < worker.entry.incarnation ||
+                        (entry.incarnation == worker.entry.incarnation &&
+                         entry.registered.ms < worker.entry.registered.ms);
+  const WorkerEntry last = std::exchange(worker.entry, entry);
+  if (!is_first && is_older) {
+    worker.entry.capacity = LesserOf(entry.capacity, last.capacity);
+    worker.entry.incarnation = last.incarnation;
+    worker.entry.registered = last.registered;
+  }
+  if (entry.incarnation > last.incarnation)
+    worker.largest_capacity = {};
+  worker.largest_capacity =
+      GreaterOf(worker.largest_capacity, worker.entry.capacity);
+  unconfirmed_capacity_.DidRegister(worker.entry.capacity,
+                                    worker.largest_capacity, now);
+  UpdateConfirmation(worker, now);
+}
+
+void LeaseDispatcher::UpdateConfirmation(LeasedWorker& worker, Time now) {
+  worker.unconfirmed_capacity =
+      unconfirmed_capacity_.Assume(worker.largest_capacity, now);
+  if (!worker.has_clock) {
+    worker.confirmed_until = Time::max();
+    return;
+  }
+  // The worker has restarted since it registered.
+  const bool is_outdated = worker.entry.incarnation != 0 &&
+                           worker.entry.incarnation < worker.incarnation;
+  worker.confirmed_until = is_outdated ? Time::min()
+                                       : unconfirmed_capacity_.ConfirmedUntil(
+                                             worker.entry.registered.ms,
+                                             worker.clock_ms, worker.clock_at);
+}
+
+void LeaseDispatcher::ReadClock(LeasedWorker& worker,
+                                std::int64_t clock_ms,
+                                Time now) {
+  worker.ReadClock(clock_ms, now);
+  UpdateConfirmation(worker, now);
+}
+
 void LeaseDispatcher::SetEvacuated(
     std::map<std::string, Time> last_starts_until,
     Time now) {
@@ -294,7 +349,7 @@
   }
   ReadCapacity(worker, report, now);
   const Time made_at = worker.ReadReportTime(report.clock_ms, now);
-  worker.ReadClock(report.clock_ms, now);
+  ReadClock(worker, report.clock_ms, now);
   for (const EndedTask& ended : report.ended) {
     worker.acknowledged = std::max(worker.acknowledged, ended.sequence);
     const auto it = worker.runs.find(ended.run.task);
@@ -403,7 +458,7 @@
         .Add(LogField::kCause, kCommandAnswerNames[answer]);
   }
   if (clock_ms != 0 && command.target.fencing_token == worker.fencing_token) {
-    worker.ReadClock(clock_ms, now);
+    ReadClock(worker, clock_ms, now);
     worker.answered_at = now;
   }
   switch (answer) {
--- a/Libraries/LibLease/lease_timing.h
+++ b/Libraries/LibLease/lease_timing.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/boot_clock.h"
+#include "LibSchedule/unconfirmed_capacity.h"
 
 namespace mustardbank {
 
@@ -50,6 +51,7 @@
   // Consecutive unanswered renewals that still extend the lease; later ones
   // only poll, so that the lease lapses.
   int renewals_without_answer = 2;
+  CapacityConfirmation capacity;
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -107,6 +107,11 @@
   Time down_since;  // while nothing listens at its address
   std::optional<IncarnationId>
       lost;  // the incarnation that was recorded as lost
+  // The capacity may have changed since the registration after this time, and
+  // starts then count on `unconfirmed_capacity` at most.
+  Time confirmed_until = Time::max();
+  Resources unconfirmed_capacity;
+  Resources largest_capacity;  // registered so far
   // Its data centre is evacuated. Tasks of jobs that have started may still
   // start here before `last_starts_until`.
   bool is_evacuated = false;
@@ -117,15 +122,23 @@
 
   // The capacity that both the registration and the last report allow: either
   // of them may be the newer one.
-  Resources Capacity() const {
+  Resources LastCapacity() const {
     return reported_capacity ? LesserOf(entry.capacity, *reported_capacity)
                              : entry.capacity;
   }
 
+  // The capacity that starts may count on.
+  Resources Capacity(Time now) const {
+    return now <= confirmed_until
+               ? LastCapacity()
+               : LesserOf(LastCapacity(), unconfirmed_capacity);
+  }
+
   // The capacity that no run uses. Runs count until they are known to have
-  // ended, and unanswered starts until they can no longer be carried out.
-  Resources FreeCapacity() const {
-    Resources free_capacity = Capacity();
+  // ended, and unanswered starts until they can no longer be carried out. Below
+  // 0 if the runs need more than the worker has left.
+  Resources FreeCapacity(Time now) const {
+    Resources free_capacity = Capacity(now);
     for (const auto& [task, run] : runs)
       free_capacity -= run.size;
     for (const auto& [task, start] : unsettled_starts)
--- a/Libraries/LibLease/placement.cc
+++ b/Libraries/LibLease/placement.cc
@@ -60,7 +60,7 @@
     if (!worker.CanStart(query.timing, now, query.is_job_started) ||
         !IsAllowed(worker, query))
       continue;
-    const Resources free_capacity = worker.FreeCapacity();
+    const Resources free_capacity = worker.FreeCapacity(now);
     if (!query.group.each.FitsIn(free_capacity))
       continue;
     usable.push_back(&worker);
@@ -89,13 +89,13 @@
     if (!worker.reserved_for.empty() ||
         !worker.IsAvailable(query.timing, now, query.is_job_started) ||
         !IsAllowed(worker, query) ||
-        !query.group.each.FitsIn(worker.Capacity()))
+        !query.group.each.FitsIn(worker.Capacity(now)))
       continue;
     Time free_at = now;
     for (const auto& [task, run] : worker.runs)
       free_at = std::max(free_at, run.started + run.expected);
     const std::tuple rank(id == query.avoided, free_at,
-                          worker.Capacity().millicores);
+                          worker.Capacity(now).millicores);
     if (chosen && rank >= chosen_rank)
       continue;
     chosen = &worker;
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -26,6 +26,14 @@
   }
 };
 
+// The reading of a worker's clock when it last registered. Advances with each
+// heartbeat, and is not a difference between two registrations.
+struct RegistrationClock {
+  std::int64_t ms = 0;  // 0: not registered
+
+  bool operator==(const RegistrationClock& /*other*/) const { return true; }
+};
+
 // A worker's registration.
 struct WorkerEntry {
   std::string id;
@@ -38,6 +46,7 @@
   std::uint64_t incarnation = 0;  // time of its start, ms since 1970
   // For how much longer the worker is slow after its start, as registered.
   ColdTime cold;
+  RegistrationClock registered;
 
   bool operator==(const WorkerEntry&) const = default;
 };
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -82,10 +82,10 @@
                                   Time now) {
   ownership_.NoticePause(now);
   workers_read_at_ = read_at;
-  if (workers != workers_) {
-    workers_ = std::move(workers);
+  const bool has_changed = workers != workers_;
+  workers_ = std::move(workers);
+  if (has_changed)
     IndexWorkers();
-  }
   RemoveMissingWorkers(now);
   SyncWorkers(now);
 }
@@ -149,6 +149,8 @@
   if (!is_known || known->second.entry != entry ||
       known->second.fencing_token != *token)
     dispatcher_.Own(entry, *token, now);
+  else
+    dispatcher_.Confirm(entry, now);
   if (ownership_.IsReleasing(shard) && !awaits_capacity_)
     dispatcher_.Release(entry.id);
 }
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -44,6 +44,9 @@
 // Share of the longest lease that is requested; the rest allows for the time
 // that a command takes to the worker.
 constexpr double kLeaseShare = 0.9;
+// Part of the time in which a smaller capacity must be respected that is kept
+// for start commands on their way, and for clocks that run 2% slow.
+constexpr milliseconds kCapacityMargin{300};
 constexpr std::size_t kCallerConnections = 2000;
 constexpr std::size_t kPeerConnections = 1000;
 constexpr std::size_t kOperatorConnections = 32;
@@ -61,6 +64,10 @@
 LeaseTiming TimingOf(const LeaseSettings& settings) {
   LeaseTiming timing;
   timing.lease = FromMilliseconds(kLeaseShare * settings.longest_lease_ms);
+  timing.capacity = {.validity = milliseconds(settings.capacity_notice_ms +
+                                              settings.worker_heartbeat_ms) -
+                                 kCapacityMargin,
+                     .share = settings.unconfirmed_capacity_share};
   return timing;
 }
 
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -253,6 +253,8 @@
                       {"incarnation", entry.incarnation}};
   if (!entry.cold.IsOver())
     object["cold_us"] = ToMicroseconds(entry.cold.remaining);
+  if (entry.registered.ms != 0)
+    object["clock_ms"] = entry.registered.ms;
   return object;
 }
 
@@ -268,6 +270,10 @@
   entry.incarnation = Integer<std::uint64_t>(object, "incarnation");
   if (object.contains("cold_us"))
     entry.cold.remaining = SpanIn(object, "cold_us", {}, kMostColdTime);
+  // Earlier builds send none.
+  if (object.contains("clock_ms"))
+    entry.registered.ms =
+        IntegerIn<std::int64_t>(object, "clock_ms", 0, kMostClockMs);
   return entry;
 }
 
--- a/Libraries/LibSchedule/job_limits.h
+++ b/Libraries/LibSchedule/job_limits.h
@@ -17,5 +17,7 @@
 inline constexpr Duration kMostRetryDelay = std::chrono::hours(1);
 inline constexpr double kMostStretch = 100;
 inline constexpr std::size_t kMostIdBytes = 200;
+// Of a worker's clock: a hundred years. Sums with a lease don't overflow.
+inline constexpr std::int64_t kMostClockMs = 100LL * 366 * 86'400'000;
 
 }  // namespace mustardbank
--- a/Libraries/LibSchedule/resources.h
+++ b/Libraries/LibSchedule/resources.h
@@ -39,4 +39,11 @@
           .accelerators = std::min(a.accelerators, b.accelerators)};
 }
 
+// The greater amount of each resource.
+inline Resources GreaterOf(const Resources& a, const Resources& b) {
+  return {.millicores = std::max(a.millicores, b.millicores),
+          .memory_mb = std::max(a.memory_mb, b.memory_mb),
+          .accelerators = std::max(a.accelerators, b.accelerators)};
+}
+
 }  // namespace mustardbank
--- a/Tests/LibLease/lease_fixture.h
+++ b/Tests/LibLease/lease_fixture.h
@@ -24,7 +24,15 @@
 
 class LeaseFixture {
  public:
-  LeaseFixture() : log("test"), dispatcher(LeaseTiming{}, log) {}
+  explicit LeaseFixture(const LeaseTiming& timing = {})
+      : log("test"), dispatcher(timing, log) {}
+
+  // Reading of the clock of all workers.
+  std::int64_t WorkerClock() const {
+    return 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(
+                      now.time_since_epoch())
+                      .count();
+  }
 
   // Moves the dispatcher's actions into the lists below.
   void Pump() {
@@ -57,10 +65,7 @@
   // Answers all renewals in flight with the same report.
   void AnswerRenewals(RenewReport report) {
     report.incarnation = 1;
-    report.clock_ms =
-        1000 + std::chrono::duration_cast<std::chrono::milliseconds>(
-                   now.time_since_epoch())
-                   .count();
+    report.clock_ms = WorkerClock();
     for (const RenewCommand& renewal : std::exchange(renewals, {}))
       dispatcher.DidRenew(renewal, CommandAnswer::kAccepted, report, now);
     Pump();
--- a/Tests/LibLease/load_simulation.h
+++ b/Tests/LibLease/load_simulation.h
@@ -249,7 +249,7 @@
     std::int64_t places = 0;
     for (const auto& [id, worker] : fixture_.dispatcher.workers()) {
       if (worker.CanStart(LeaseTiming{}, fixture_.now))
-        places += worker.FreeCapacity().millicores / millicores;
+        places += worker.FreeCapacity(fixture_.now).millicores / millicores;
     }
     return static_cast<std::uint32_t>(places);
   }
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -50,6 +50,11 @@
   if (guarantee == LeaseGuarantee::kGracefulLeave)
     return kPlannedFaults;
   std::vector<LeaseFaultKind> kinds = kAllFaults;
+  if (guarantee == LeaseGuarantee::kRoomKept)
+    kinds.insert(
+        kinds.end(),
+        {LeaseFaultKind::kLongStoreOutage, LeaseFaultKind::kShrinkWorker,
+         LeaseFaultKind::kLongStoreOutage, LeaseFaultKind::kShrinkWorker});
   if (guarantee == LeaseGuarantee::kEvacuated)
     kinds.insert(kinds.end(), 4, LeaseFaultKind::kEvacuate);
   return kinds;
@@ -170,6 +175,9 @@
 TEST(BrokenLeaseGuarantees, room_kept) {
   CheckDetected(LeaseGuarantee::kRoomKept, LeaseDefect::kStartsHaveNoLease);
 }
+TEST(BrokenLeaseGuarantees, room_kept_without_the_store) {
+  CheckDetected(LeaseGuarantee::kRoomKept, LeaseDefect::kCapacityNeverOutdated);
+}
 TEST(BrokenLeaseGuarantees, one_run) {
   CheckDetected(LeaseGuarantee::kOneRun, LeaseDefect::kFastClockAssumed);
 }
--- a/Tests/LibLeaseEntry/lease_scenario.h
+++ b/Tests/LibLeaseEntry/lease_scenario.h
@@ -25,12 +25,17 @@
   kStoreLosesAnswers,
   // The operator evacuates the data centre, for four times as long.
   kEvacuate,
+  // The store is unavailable for four times as long.
+  kLongStoreOutage,
+  // The worker's capacity shrinks to half, for four times as long.
+  kShrinkWorker,
 };
 
-inline constexpr EnumNames<LeaseFaultKind, 13> kLeaseFaultNames{
+inline constexpr EnumNames<LeaseFaultKind, 15> kLeaseFaultNames{
     {"cut_workers", "reset_workers", "freeze_vm", "kill_vm", "leave_vm",
      "cut_peers", "crash_worker", "worker_leaves", "lose_answers",
-     "delay_orders", "store_down", "store_loses_answers", "evacuate"}};
+     "delay_orders", "store_down", "store_loses_answers", "evacuate",
+     "long_store_outage", "shrink_worker"}};
 
 struct LeaseFault {
   LeaseFaultKind kind = LeaseFaultKind::kCutWorkers;
--- a/Tests/LibLeaseEntry/lease_simulation.cc
+++ b/Tests/LibLeaseEntry/lease_simulation.cc
@@ -17,6 +17,11 @@
 constexpr int kLongDelayMs = 2500;  // of delayed commands and store changes
 constexpr int kDrainMs = 2000;  // from a leaving registration to no new starts
 constexpr int kEvacuateMs = 1000;  // the project's own target
+// A start must respect a smaller capacity this long after the change.
+constexpr int kCapacityNoticeMs = 4500;
+constexpr int kCapacityMarginMs = 300;
+constexpr std::int64_t kFullMillicores = 64'000;
+constexpr std::int64_t kShrunkMillicores = 32'000;
 constexpr int kMinRestartMs = 1600;
 constexpr int kWorkersIntervalMs = 1000;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(150);
@@ -65,6 +70,9 @@
   LeaseTiming timing;
   if (defect_ == LeaseDefect::kFastClockAssumed)
     timing.clock_drift = -1;
+  if (defect_ != LeaseDefect::kCapacityNeverOutdated)
+    timing.capacity.validity =
+        std::chrono::milliseconds(kCapacityNoticeMs - kCapacityMarginMs);
   const auto incarnation = static_cast<std::uint64_t>(vm.incarnation_id);
   vm.control = std::make_unique<LeaseControl>(
       Ownership::Self{
@@ -169,20 +177,45 @@
           evacuation_rows_.clear();
       });
       return;
+    case LeaseFaultKind::kLongStoreOutage:
+      active_.push_back({.kind = LeaseFaultKind::kStoreDown,
+                         .target = fault.target,
+                         .at_ms = fault.at_ms});
+      Schedule(now_ + 4 * fault.for_ms,
+               [this, down = active_.back()] { EndFault(down); });
+      return;
+    case LeaseFaultKind::kShrinkWorker:
+      if (worker->second.shrinks_active++ == 0)
+        worker->second.shrunk_at = now_;
+      worker->second.entry.capacity.millicores = kShrunkMillicores;
+      Schedule(now_ + 4 * fault.for_ms, [this, id = worker->first] {
+        Worker& shrunk = workers_.at(id);
+        if (--shrunk.shrinks_active == 0)
+          shrunk.entry.capacity.millicores = kFullMillicores;
+      });
+      return;
     default:
       active_.push_back(fault);
-      Schedule(end, [this, fault] {
-        quiet_since_ = now_;
-        const auto it = std::find_if(
-            active_.begin(), active_.end(), [&](const LeaseFault& other) {
-              return other.kind == fault.kind && other.target == fault.target &&
-                     other.at_ms == fault.at_ms;
-            });
-        active_.erase(it);
-      });
+      Schedule(end, [this, fault] { EndFault(fault); });
   }
 }
 
+void LeaseSimulation::EndFault(const LeaseFault& fault) {
+  quiet_since_ = now_;
+  const auto it = std::find_if(
+      active_.begin(), active_.end(), [&](const LeaseFault& other) {
+        return other.kind == fault.kind && other.target == fault.target &&
+               other.at_ms == fault.at_ms;
+      });
+  active_.erase(it);
+}
+
+std::int64_t LeaseSimulation::BindingCapacity(const Worker& worker, int now) {
+  return worker.shrinks_active > 0 && now > worker.shrunk_at + kCapacityNoticeMs
+             ? kShrunkMillicores
+             : kFullMillicores;
+}
+
 bool LeaseSimulation::IsStoreDown() const {
   return IsActive(LeaseFaultKind::kStoreDown, 0) ||
          IsActive(LeaseFaultKind::kStoreDown, 1) ||
@@ -217,6 +250,7 @@
   std::vector<WorkerEntry> entries;
   for (const auto& [id, worker] : workers_) {
     entries.push_back(worker.entry);
+    entries.back().registered.ms = worker.model.ClockAt(now_);
     if (defect_ == LeaseDefect::kLeavingIgnored)
       entries.back().leaving = false;
   }
@@ -488,7 +522,7 @@
                       command.run.task + " runs on " + other_id +
                           " and starts on " + worker.entry.id);
   }
-  if (worker.model.UsedMillicores() > worker.entry.capacity.millicores)
+  if (worker.model.UsedMillicores() > BindingCapacity(worker, now_))
     RecordViolation(LeaseGuarantee::kRoomKept,
                     worker.entry.id + " runs " +
                         std::to_string(worker.model.UsedMillicores()));
@@ -696,11 +730,13 @@
   for (int i = 0; i < kWorkers; ++i) {
     const std::string id = "worker" + std::to_string(i);
     Worker& worker = workers_[id];
-    worker.entry = {.id = id,
-                    .service = "guide",
-                    .endpoint = {.ip = 2, .port = 1},
-                    .data_center = "rif",
-                    .capacity = {.millicores = 64'000, .memory_mb = 1000}};
+    worker.entry = {
+        .id = id,
+        .service = "guide",
+        .endpoint = {.ip = 2, .port = 1},
+        .data_center = "rif",
+        .capacity = {.millicores = kFullMillicores, .memory_mb = 1000},
+        .incarnation = 1};
     worker.options = {
         .clock_rate = i % 2 == 0 ? 1 : kSlowClock,
         .longest_lease_ms = kLongestLeaseMs,
--- a/Tests/LibLeaseEntry/lease_simulation.h
+++ b/Tests/LibLeaseEntry/lease_simulation.h
@@ -30,6 +30,8 @@
   kBusyWorkersUnlisted,  // heartbeats of leaving VMs list no busy workers
   // Processes that have read the operator's table are not told of changes.
   kEvacuationsUnread,
+  // Owners count on the last capacity that they read, however old.
+  kCapacityNeverOutdated,
 };
 
 enum class LeaseGuarantee {
@@ -90,6 +92,8 @@
     bool alive = true;
     std::vector<RenewWaiter> waiters;
     int left_at = kEndMs * 2;  // when its registration was marked as leaving
+    int shrinks_active = 0;
+    int shrunk_at = 0;
   };
   struct Job {
     LeaseJobPlan plan;
@@ -131,8 +135,11 @@
   void StopVm(int vm);
   void StepVm(int vm);
   void BeginFault(const LeaseFault& fault);
+  void EndFault(const LeaseFault& fault);
   void ReadStore(Vm& vm);
   bool IsStoreDown() const;
+  // The capacity that starts must respect by now.
+  static std::int64_t BindingCapacity(const Worker& worker, int now);
   void ReadEvacuations(Vm& vm, Time read_began);
   void SendHeartbeats(int vm);
   LeaseControl::Sinks SinksOf(int vm);
