LibLease: Let VMs that start introduce themselves to their peers

Cause: VMs send heartbeats to the peers that they read from the store. After an outage of the store most VMs read its changes again up to 2.6 s late. A VM that joined meanwhile knew all others and was known to none, heard nobody for 0.8 s, and took every owner of its data centre for dead: 16 living owners were fenced.

Change: heartbeats to a peer that has not been heard yet carry the sender's data centre, endpoint and power. The receiver knows the sender from then on and answers at once, whether its store is there or not. An owner that has not answered gets introductions each 150 ms until its silence is judged. A VM that hears nobody else at all waits for 3.2 s before it judges an owner that it has never heard. Introductions of VMs whose records were removed are ignored, and VMs that never write a record are forgotten after 30 s of silence.

Seen red: the new property living_owner_kept (kills, replaced VMs, cuts, pauses, outages for all and for single VMs) is violated with the defect kNoIntroductions, and holds in 600 cases.

--- a/Libraries/LibLease/heartbeat_schedule.h
+++ b/Libraries/LibLease/heartbeat_schedule.h
@@ -47,6 +47,8 @@
   // within `interval`, and counts it as sent. It is due at the interval that
   // the last heartbeat announced at the latest.
   bool TakeDue(const std::string& peer, Duration interval, Time now);
+  // Makes the heartbeat to one peer due.
+  void SendNow(const std::string& peer) { sent_.erase(peer); }
   // Makes the heartbeats to all peers due.
   void SendAllNow() { sent_.clear(); }
 
--- a/Libraries/LibLease/ownership.cc
+++ b/Libraries/LibLease/ownership.cc
@@ -108,9 +108,11 @@
   const Time counted_from =
       std::max({peer.last_heartbeat_at, peer.reachable_since, store_regained_,
                 resumed_at_});
-  const Duration timeout = peer.last_heartbeat_at == Time::min()
-                               ? timing_.owner_timeout
-                               : TimeoutOf(peer);
+  // A process that has heard nobody yet may be the one that is unreachable.
+  const Duration unheard_timeout = IsIsolated(record.owner, now)
+                                       ? timing_.member_timeout
+                                       : timing_.owner_timeout;
+  const Duration timeout = peer.IsUnheard() ? unheard_timeout : TimeoutOf(peer);
   return now - counted_from > timeout && !IsReachableFromOthers(record, now);
 }
 
@@ -413,6 +415,7 @@
   for (const ShardId& id : handed_over)
     EndOwnership(id, "handed_over", now);
   LogLostPeers(now);
+  ForgetUnrecorded(now);
 }
 
 bool Ownership::IsHandingOver() const {
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -13,6 +13,11 @@
 // An owner that leaves offers its shards to a successor. It continues to start
 // tasks until it sees the successor's claim, since the successor may be unable
 // to claim.
+//
+// A VM that starts knows its peers from the store before they know it: their
+// store may be unavailable, or they read its changes later. It introduces
+// itself in its heartbeats until each peer has answered, so that the silence of
+// a living owner never comes from not knowing this VM.
 #pragma once
 
 #include <map>
@@ -113,6 +118,16 @@
   // Notices that the process was paused: what it knows of other VMs is as old
   // as the pause, and their silence meanwhile proves nothing.
   void NoticePause(Time now);
+  // Where peers send datagrams and jobs. Known once the process listens.
+  void set_endpoint(Endpoint endpoint) { endpoint_ = endpoint; }
+  Introduction MakeIntroduction() const {
+    return {.data_center = self_.data_center,
+            .endpoint = endpoint_,
+            .power = self_.power};
+  }
+  // The peers that introduced themselves since the last call, and wait for an
+  // answer.
+  std::set<std::string> TakeIntroduced();
   Time resumed_at() const { return resumed_at_; }
   bool has_store() const { return has_store_; }
 
@@ -164,6 +179,11 @@
     Time last_heartbeat_at;  // Time::min() before the first heartbeat
     Time reachable_since;
     bool was_lost = false;
+    bool is_recorded = false;  // in the store; others introduced themselves
+
+    // Whether no heartbeat of its present incarnation was received. Such a peer
+    // gets introductions.
+    bool IsUnheard() const { return last_heartbeat_at == Time::min(); }
   };
   const std::map<std::string, Peer>& peers() const { return peers_; }
   // The number of known VMs of this VM's data centre that come before it, in an
@@ -171,7 +191,9 @@
   std::int64_t RankInDataCenter() const;
   // The time between heartbeats to a peer. `shares_jobs`: one of the two VMs
   // runs jobs of the other.
-  Duration HeartbeatIntervalTo(const Peer& peer, bool shares_jobs) const;
+  Duration HeartbeatIntervalTo(const Peer& peer,
+                               bool shares_jobs,
+                               Time now) const;
   // How long a peer may send no heartbeat until it counts as unreachable.
   Duration TimeoutOf(const Peer& peer) const;
   // Whether a heartbeat of the VM was received within its timeout.
@@ -205,6 +227,12 @@
 
   bool IsOwnerGone(const Shard& shard, Time now) const;
   bool IsReachableFromOthers(const ShardRecord& record, Time now) const;
+  // Whether this VM hears none of the VMs other than the owner that are on
+  // record.
+  bool IsIsolated(const std::string& owner, Time now) const;
+  bool OwnsRecordedShards(const std::string& name) const;
+  void DidMeet(const Heartbeat& heartbeat, Time now);
+  void ForgetUnrecorded(Time now);
   bool IsWitness(const Peer& peer, const ShardRecord& record) const;
   std::size_t VmsIn(const std::string& data_center) const;
   std::vector<std::string> SilentOwners(Time now) const;
@@ -235,10 +263,15 @@
   void LogLostPeers(Time now);
 
   const Self self_;
+  Endpoint endpoint_;
   const OwnershipTiming timing_;
   EventLog& log_;
-  std::map<std::string, Peer> peers_;                  // without this VM
-  std::map<std::string, std::size_t> peer_counts_;     // by data centre
+  std::map<std::string, Peer> peers_;               // without this VM
+  std::map<std::string, std::size_t> peer_counts_;  // by data centre
+  std::set<std::string> introduced_;
+  // The last incarnations of VMs whose records were removed. Introductions that
+  // were sent before may arrive later.
+  std::map<std::string, std::uint64_t> departed_;
   std::map<std::string, std::uint32_t> shard_counts_;  // by data centre
   std::map<ShardId, Shard> shards_;
   std::map<ShardId, OwnedShard> owned_;
--- a/Libraries/LibLease/ownership_peers.cc
+++ b/Libraries/LibLease/ownership_peers.cc
@@ -6,6 +6,20 @@
 
 namespace mustardbank {
 
+namespace {
+
+// A VM writes its record within a second of the store's return. One that has
+// introduced itself and is silent for longer has ended before.
+constexpr Duration kUnrecordedTimeout = std::chrono::seconds(30);
+constexpr std::size_t kMostDeparted = 1000;
+// Beyond this number, VMs become known from the store only.
+constexpr std::size_t kMostPeers = 4000;
+// For how long an owner that has not answered gets introductions at short
+// intervals: some may be lost, and its silence is judged after 0.8 s.
+constexpr Duration kIntroductionPeriod = std::chrono::milliseconds(1600);
+
+}  // namespace
+
 const ShardStatus* FindStatus(const Heartbeat& heartbeat, const ShardId& id) {
   const auto it = std::find_if(
       heartbeat.shards.begin(), heartbeat.shards.end(),
@@ -21,18 +35,70 @@
   if (!is_new)
     --peer_counts_[peer.record.data_center];
   ++peer_counts_[member.data_center];
-  if (peer.record.incarnation != member.incarnation) {
+  peer.is_recorded = true;
+  if (is_new || peer.record.incarnation < member.incarnation) {
     peer.last_heartbeat_at = Time::min();
     peer.last_heartbeat = {};
     peer.reachable_since = now;
+  } else if (peer.record.incarnation > member.incarnation) {
+    // The record of an earlier incarnation: the VM has introduced itself since.
+    ++peer_counts_[peer.record.data_center];
+    --peer_counts_[member.data_center];
+    return;
   }
   peer.record = member;
 }
 
+// A VM introduced itself that this one does not know, or knows in an earlier
+// incarnation only.
+void Ownership::DidMeet(const Heartbeat& heartbeat, Time now) {
+  const auto departed = departed_.find(heartbeat.name);
+  if (heartbeat.name == self_.name ||
+      (departed != departed_.end() &&
+       heartbeat.incarnation <= departed->second))
+    return;
+  const auto known = peers_.find(heartbeat.name);
+  if (known == peers_.end() && peers_.size() >= kMostPeers)
+    return;
+  introduced_.insert(heartbeat.name);
+  if (known != peers_.end() &&
+      known->second.record.incarnation >= heartbeat.incarnation)
+    return;
+  const bool was_recorded = known != peers_.end() && known->second.is_recorded;
+  DidReadMember({.name = heartbeat.name,
+                 .data_center = heartbeat.introduction->data_center,
+                 .endpoint = heartbeat.introduction->endpoint,
+                 .incarnation = heartbeat.incarnation,
+                 .power = heartbeat.introduction->power},
+                now);
+  peers_.at(heartbeat.name).is_recorded = was_recorded;
+}
+
+std::set<std::string> Ownership::TakeIntroduced() {
+  return std::exchange(introduced_, {});
+}
+
+void Ownership::ForgetUnrecorded(Time now) {
+  std::vector<std::string> gone;
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.is_recorded &&
+        now - std::max(peer.last_heartbeat_at, peer.reachable_since) >
+            kUnrecordedTimeout)
+      gone.push_back(name);
+  }
+  for (const std::string& name : gone) {
+    --peer_counts_[peers_.at(name).record.data_center];
+    peers_.erase(name);
+  }
+}
+
 void Ownership::DidDropMember(const std::string& name) {
   const auto it = peers_.find(name);
   if (it == peers_.end())
     return;
+  if (departed_.size() >= kMostDeparted)
+    departed_.clear();
+  departed_[name] = it->second.record.incarnation;
   --peer_counts_[it->second.record.data_center];
   peers_.erase(it);
 }
@@ -55,8 +121,18 @@
   });
 }
 
+bool Ownership::OwnsRecordedShards(const std::string& name) const {
+  return std::any_of(shards_.begin(), shards_.end(), [&](const auto& entry) {
+    return entry.second.record && entry.second.record->owner == name;
+  });
+}
+
 Duration Ownership::HeartbeatIntervalTo(const Peer& peer,
-                                        bool shares_jobs) const {
+                                        bool shares_jobs,
+                                        Time now) const {
+  if (peer.IsUnheard() && now - peer.reachable_since < kIntroductionPeriod &&
+      OwnsRecordedShards(peer.record.name))
+    return timing_.heartbeats.shortest;
   const std::string& data_center = peer.record.data_center;
   return HeartbeatInterval(
       timing_.heartbeats,
@@ -76,6 +152,8 @@
 }
 
 void Ownership::DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now) {
+  if (heartbeat.introduction)
+    DidMeet(heartbeat, now);
   const auto it = peers_.find(heartbeat.name);
   if (it == peers_.end())
     return;
@@ -144,6 +222,18 @@
   });
 }
 
+bool Ownership::IsIsolated(const std::string& owner, Time now) const {
+  bool has_others = false;
+  for (const auto& [name, peer] : peers_) {
+    if (name == owner)
+      continue;
+    has_others = true;
+    if (IsReachable(peer, now))
+      return false;
+  }
+  return has_others;
+}
+
 std::vector<std::string> Ownership::SilentOwners(Time now) const {
   std::set<std::string> silent;
   for (const auto& [id, shard] : shards_) {
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,13 @@
   std::vector<std::string> busy;
 };
 
+// How a VM introduces itself to a peer that may not have read its record.
+struct Introduction {
+  std::string data_center;
+  Endpoint endpoint;
+  double power = 0;  // cores
+};
+
 // Sent from each VM to its peers as a datagram.
 struct Heartbeat {
   std::string name;
@@ -70,6 +78,8 @@
   std::vector<std::string> silent_owners;
   // Evacuations that the sender knows. Earlier builds send none.
   EvacuationTable evacuations;
+  // Sent until the receiver has answered.
+  std::optional<Introduction> introduction;
   // Crashes that the sender found and that did not come back from the store.
   std::vector<CrashRecord> crashes;
 
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -152,6 +152,7 @@
                       readiness_.Listen({&thread_}, settings_.readiness));
     BOOST_LEAF_ASSIGN(endpoints_.callers,
                       callers_.Listen({&thread_}, settings_.callers));
+    control_.ownership().set_endpoint(endpoints_.peers);
     store_ = std::make_unique<StoreLoop>(
         thread_.io(), settings_.store,
         MemberRecord{.name = settings_.name,
@@ -264,23 +265,32 @@
     else if (now - heartbeats_checked_ < kHeartbeatCheck)
       return;
     heartbeats_checked_ = now;
+    for (const std::string& name : control_.ownership().TakeIntroduced())
+      heartbeats_.SendNow(name);
     const std::set<std::string> homes = control_.dispatcher().Homes();
-    std::map<Duration, std::string> encoded;  // by interval
+    // By interval, and whether it introduces this VM.
+    std::map<std::pair<Duration, bool>, std::string> encoded;
     for (const auto& [name, peer] : ownership.peers()) {
       const Duration interval = ownership.HeartbeatIntervalTo(
-          peer, homes.contains(name) || jobs_.HasJobAt(name));
+          peer, homes.contains(name) || jobs_.HasJobAt(name), now);
       if (!heartbeats_.TakeDue(name, interval, now))
         continue;
-      std::string& bytes = encoded[interval];
-      if (bytes.empty()) {
-        bytes = EncodeHeartbeat(control_.MakeHeartbeat(interval, now));
-      }
+      std::string& bytes = encoded[{interval, peer.IsUnheard()}];
+      if (bytes.empty())
+        bytes = EncodeHeartbeat(MakeHeartbeat(interval, peer.IsUnheard(), now));
       // An unsent datagram needs no more handling than one lost on the network.
       if (datagrams_.Send(peer.record.endpoint, bytes))
         ++datagrams_unsent_;
     }
   }
 
+  Heartbeat MakeHeartbeat(Duration interval, bool introduces, Time now) const {
+    Heartbeat heartbeat = control_.MakeHeartbeat(interval, now);
+    if (introduces)
+      heartbeat.introduction = control_.ownership().MakeIntroduction();
+    return heartbeat;
+  }
+
   void DidReceive(std::string_view bytes) {
     const Time now = BootClock::now();
     const auto heartbeat = DecodeHeartbeat(bytes);
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -320,6 +320,20 @@
   return row.key.substr(prefix.size());
 }
 
+json::object ToJson(const Introduction& introduction) {
+  return {{"data_center", introduction.data_center},
+          {"endpoint", introduction.endpoint.ToString()},
+          {"power", introduction.power}};
+}
+
+Introduction ToIntroduction(const json::object& object) {
+  const auto power = object.at("power").to_number<double>();
+  Require(power >= 0 && power <= kMostPower);
+  return {.data_center = Text(object, "data_center"),
+          .endpoint = Endpoint::Parse(Text(object, "endpoint")).value(),
+          .power = power};
+}
+
 }  // namespace
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
@@ -336,6 +350,8 @@
                       {"silent", json::value_from(heartbeat.silent_owners)},
                       // Read by builds that list all VMs they hear.
                       {"hears", json::array()}};
+  if (heartbeat.introduction)
+    object["introduction"] = ToJson(*heartbeat.introduction);
   if (!heartbeat.evacuations.empty())
     object["evacuations"] = ToJson(heartbeat.evacuations);
   if (!heartbeat.crashes.empty())
@@ -363,6 +379,9 @@
     }
     for (const json::value& shard : object.at("shards").as_array())
       heartbeat.shards.push_back(ToShardStatus(shard.as_object()));
+    if (object.contains("introduction"))
+      heartbeat.introduction =
+          ToIntroduction(object.at("introduction").as_object());
     if (object.contains("evacuations"))
       heartbeat.evacuations =
           ToEvacuations(object.at("evacuations").as_array());
--- a/Tests/LibLease/ownership_test.cc
+++ b/Tests/LibLease/ownership_test.cc
@@ -92,6 +92,15 @@
       ownership.DidReceiveHeartbeat({.name = peer, .incarnation = 3}, now);
   }
 
+  static Heartbeat Introduce(const std::string& name,
+                             std::uint64_t incarnation) {
+    return {.name = name,
+            .incarnation = incarnation,
+            .introduction = Introduction{.data_center = "rif",
+                                         .endpoint = {.ip = 1, .port = 1},
+                                         .power = 1}};
+  }
+
   ShardStatus Status() {
     return ownership.MakeHeartbeat({}, 0, milliseconds(150), now).shards.at(0);
   }
@@ -268,6 +277,61 @@
   CHECK_EQUAL(1, ownership.TakeClaims().size());
 }
 
+// VMs that joined after an outage of the store were unknown to all others, and
+// claimed every shard of their data centre 0.8 s after their start.
+TEST(Ownership, unknown_vm_is_known_once_it_introduces_itself) {
+  ownership.DidReceiveHeartbeat(Introduce("joined", 3), now);
+  CHECK_EQUAL(1, ownership.peers().size());
+  CHECK(ownership.TakeIntroduced().contains("joined"));
+  CHECK(ownership.TakeIntroduced().empty());
+  CHECK(ownership.IsReachable(ownership.peers().at("joined"), now));
+}
+
+TEST(Ownership, late_introduction_of_a_departed_vm_is_ignored) {
+  ownership.DidReadMember(MakeMember("left", 3), now);
+  ownership.DidDropMember("left");
+  ownership.DidReceiveHeartbeat(Introduce("left", 3), now);
+  CHECK(ownership.peers().empty());
+  ownership.DidReceiveHeartbeat(Introduce("left", 4), now);
+  CHECK_EQUAL(1, ownership.peers().size());
+}
+
+TEST(Ownership, silent_vm_without_a_record_is_forgotten) {
+  ownership.DidReceiveHeartbeat(Introduce("joined", 3), now);
+  now += std::chrono::seconds(31);
+  ownership.Tick(now);
+  CHECK(ownership.peers().empty());
+}
+
+TEST(Ownership, record_of_an_earlier_incarnation_does_not_reset_a_peer) {
+  ownership.DidReadMember(MakeMember("peer", 3), now);
+  ownership.DidReceiveHeartbeat(Introduce("peer", 4), now);
+  ownership.DidReadMember(MakeMember("peer", 3), now);
+  CHECK_EQUAL(4, ownership.peers().at("peer").record.incarnation);
+  CHECK(ownership.IsReachable(ownership.peers().at("peer"), now));
+}
+
+// A process that hears nobody may be the one that is unreachable.
+TEST(Ownership, vm_that_hears_nobody_waits_longer_to_judge_an_owner) {
+  ReadOwner("owner");
+  ownership.DidReadMember(MakeMember("other", 3), now);
+  TickFor(milliseconds(2500));
+  CHECK(ownership.TakeClaims().empty());
+  TickFor(milliseconds(1500));
+  CHECK_EQUAL(1, ownership.TakeClaims().size());
+}
+
+TEST(Ownership, unheard_owner_gets_introductions_at_short_intervals) {
+  ReadOwner("owner");
+  const Ownership::Peer& owner = ownership.peers().at("owner");
+  CHECK(owner.IsUnheard());
+  CHECK(ownership.HeartbeatIntervalTo(owner, false, now) ==
+        HeartbeatTiming{}.shortest);
+  now += std::chrono::seconds(2);
+  CHECK(ownership.HeartbeatIntervalTo(owner, false, now) ==
+        HeartbeatTiming{}.idle);
+}
+
 TEST(Ownership, shard_goes_back_to_a_vm_of_its_data_centre) {
   ownership.SetShardCount("tanger", 1);
   ownership.DidProbe("tanger", true, now);
--- a/Tests/LibLeaseEntry/lease_guarantees_test.cc
+++ b/Tests/LibLeaseEntry/lease_guarantees_test.cc
@@ -46,9 +46,18 @@
 
 const std::vector<LeaseFaultKind> kPlannedFaults{LeaseFaultKind::kLeaveVm};
 
+// Without lost answers: a claim whose answer was lost may take effect later.
+const std::vector<LeaseFaultKind> kMembershipFaults{
+    LeaseFaultKind::kFreezeVm,        LeaseFaultKind::kKillVm,
+    LeaseFaultKind::kLeaveVm,         LeaseFaultKind::kCutPeers,
+    LeaseFaultKind::kLongStoreOutage, LeaseFaultKind::kReplaceVm,
+    LeaseFaultKind::kStoreDownForVm,  LeaseFaultKind::kStoreDownForVm};
+
 std::vector<LeaseFaultKind> FaultsFor(LeaseGuarantee guarantee) {
   if (guarantee == LeaseGuarantee::kGracefulLeave)
     return kPlannedFaults;
+  if (guarantee == LeaseGuarantee::kLivingOwnerKept)
+    return kMembershipFaults;
   std::vector<LeaseFaultKind> kinds = kAllFaults;
   if (guarantee == LeaseGuarantee::kRoomKept)
     kinds.insert(
@@ -172,6 +181,10 @@
   CheckHolds(LeaseGuarantee::kEvacuated);
 }
 
+TEST(LeaseGuarantees, living_owner_kept) {
+  CheckHolds(LeaseGuarantee::kLivingOwnerKept);
+}
+
 TEST(BrokenLeaseGuarantees, room_kept) {
   CheckDetected(LeaseGuarantee::kRoomKept, LeaseDefect::kStartsHaveNoLease);
 }
@@ -195,6 +208,10 @@
 TEST(BrokenLeaseGuarantees, evacuated) {
   CheckDetected(LeaseGuarantee::kEvacuated, LeaseDefect::kEvacuationsUnread);
 }
+TEST(BrokenLeaseGuarantees, living_owner_kept) {
+  CheckDetected(LeaseGuarantee::kLivingOwnerKept,
+                LeaseDefect::kNoIntroductions);
+}
 TEST(BrokenLeaseGuarantees, one_owner) {
   CheckDetected(LeaseGuarantee::kOneOwner, LeaseDefect::kWorkersIgnoreTokens);
 }
--- a/Tests/LibLeaseEntry/lease_scenario.h
+++ b/Tests/LibLeaseEntry/lease_scenario.h
@@ -29,13 +29,17 @@
   kLongStoreOutage,
   // The worker's capacity shrinks to half, for four times as long.
   kShrinkWorker,
+  // The VM is gone for good; one with another name takes its place afterwards.
+  kReplaceVm,
+  // The VM can't read the store, for four times as long.
+  kStoreDownForVm,
 };
 
-inline constexpr EnumNames<LeaseFaultKind, 15> kLeaseFaultNames{
+inline constexpr EnumNames<LeaseFaultKind, 17> kLeaseFaultNames{
     {"cut_workers", "reset_workers", "freeze_vm", "kill_vm", "leave_vm",
      "cut_peers", "crash_worker", "worker_leaves", "lose_answers",
      "delay_orders", "store_down", "store_loses_answers", "evacuate",
-     "long_store_outage", "shrink_worker"}};
+     "long_store_outage", "shrink_worker", "replace_vm", "store_down_for_vm"}};
 
 struct LeaseFault {
   LeaseFaultKind kind = LeaseFaultKind::kCutWorkers;
--- a/Tests/LibLeaseEntry/lease_simulation.cc
+++ b/Tests/LibLeaseEntry/lease_simulation.cc
@@ -64,7 +64,8 @@
   vm.deferred.clear();
   vm.read_version = 0;
   vm.workers_at = 0;
-  vm.name = "vm" + std::to_string(index);
+  vm.name =
+      "vm" + std::to_string(vm.replacements) + "-" + std::to_string(index);
   vm.log = std::make_unique<EventLog>(
       vm.name, EventLog::Limits{.lines_per_second = 0, .buffer_bytes = 0});
   LeaseTiming timing;
@@ -133,6 +134,19 @@
       StopVm(vm);
       Schedule(end, [this, vm] { StartVm(vm); });
       return;
+    case LeaseFaultKind::kReplaceVm:
+      if (!vms_[vm].alive)
+        return;
+      StopVm(vm);
+      member_rows_.erase(vms_[vm].name);
+      ++store_version_;
+      ++vms_[vm].replacements;
+      Schedule(end, [this, vm] { StartVm(vm); });
+      return;
+    case LeaseFaultKind::kStoreDownForVm:
+      active_.push_back(fault);
+      Schedule(now_ + 4 * fault.for_ms, [this, fault] { EndFault(fault); });
+      return;
     case LeaseFaultKind::kLeaveVm: {
       if (!IsRunning(vms_[vm]))
         return;
@@ -231,7 +245,15 @@
 }
 
 void LeaseSimulation::ReadStore(Vm& vm) {
-  if (IsStoreDown())
+  const auto index = static_cast<int>(&vm - vms_.data());
+  const bool is_down =
+      IsStoreDown() || IsActive(LeaseFaultKind::kStoreDownForVm, index);
+  Ownership& ownership = vm.control->ownership();
+  if (is_down && ownership.has_store())
+    ownership.DidLoseStore();
+  else if (!is_down && !ownership.has_store())
+    ownership.DidRegainStore(Now());
+  if (is_down)
     return;
   if (vm.read_version < store_version_) {
     vm.read_version = store_version_;
@@ -262,14 +284,21 @@
   if (now_ < vm.heartbeat_at)
     return;
   vm.heartbeat_at = now_ + ToMs(kHeartbeatInterval);
+  Ownership& ownership = vm.control->ownership();
+  ownership.TakeIntroduced();
   Heartbeat heartbeat = vm.control->MakeHeartbeat(kHeartbeatInterval, Now());
   if (defect_ == LeaseDefect::kBusyWorkersUnlisted) {
     for (ShardStatus& status : heartbeat.shards)
       status.busy.clear();
   }
   for (int peer = 0; peer < kVms; ++peer) {
-    if (peer == index || !ReachesPeers(index, peer))
+    const auto known = ownership.peers().find(vms_[peer].name);
+    if (peer == index || known == ownership.peers().end() ||
+        !ReachesPeers(index, peer))
       continue;
+    heartbeat.introduction.reset();
+    if (known->second.IsUnheard() && defect_ != LeaseDefect::kNoIntroductions)
+      heartbeat.introduction = ownership.MakeIntroduction();
     Schedule(
         now_ + kNetworkDelayMs,
         [this, peer, heartbeat, incarnation_id = vms_[peer].incarnation_id] {
@@ -382,7 +411,8 @@
       .finish = [=, this](FinishJob&& finish) { DidFinish(vm, finish); },
       .claim =
           [=, this](ClaimShard&& claim) {
-            const bool is_down = IsActive(LeaseFaultKind::kStoreDown, vm);
+            const bool is_down = IsActive(LeaseFaultKind::kStoreDown, vm) ||
+                                 IsActive(LeaseFaultKind::kStoreDownForVm, vm);
             const bool is_lost =
                 IsActive(LeaseFaultKind::kStoreLosesAnswers, vm);
             const auto complete = [=,
@@ -398,6 +428,7 @@
               std::optional<std::uint64_t> version;
               if (!is_down && row.version == claim.expected_version) {
                 version = ++store_version_;
+                CheckClaim(row, vm);
                 row = {.shard = claim.shard,
                        .owner = vms_[vm].name,
                        .owner_incarnation =
@@ -492,6 +523,38 @@
            });
 }
 
+bool LeaseSimulation::IsSound(int vm) const {
+  constexpr int kSettledMs = 3000;
+  const auto is_recent = [&](const LeaseFault& fault) {
+    const int end = 1500 + fault.at_ms + fault.for_ms;
+    return fault.target % kVms == vm &&
+           (fault.kind == LeaseFaultKind::kCutPeers ||
+            fault.kind == LeaseFaultKind::kFreezeVm) &&
+           now_ >= 1500 + fault.at_ms && now_ < end + kSettledMs;
+  };
+  return IsRunning(vms_[vm]) && !IsStoreDown() &&
+         std::none_of(scenario_.faults.begin(), scenario_.faults.end(),
+                      is_recent);
+}
+
+void LeaseSimulation::CheckClaim(const ShardRecord& former, int claimant) {
+  for (int i = 0; i < kVms; ++i) {
+    const Vm& owner = vms_[i];
+    if (i == claimant || !owner.alive || owner.name != former.owner ||
+        former.owner_incarnation !=
+            static_cast<std::uint64_t>(owner.incarnation_id) ||
+        !IsSound(i) || !IsSound(claimant))
+      continue;
+    const auto heartbeat =
+        owner.control->MakeHeartbeat(kHeartbeatInterval, Now());
+    const ShardStatus* status = FindStatus(heartbeat, former.shard);
+    if (status && status->successor.empty())
+      RecordViolation(LeaseGuarantee::kLivingOwnerKept,
+                      former.shard.ToString() + " of " + owner.name +
+                          " is claimed by " + vms_[claimant].name);
+  }
+}
+
 void LeaseSimulation::CheckToken(const Worker& worker, std::uint64_t token) {
   if (token < worker.model.token() &&
       defect_ == LeaseDefect::kWorkersIgnoreTokens)
--- a/Tests/LibLeaseEntry/lease_simulation.h
+++ b/Tests/LibLeaseEntry/lease_simulation.h
@@ -32,6 +32,7 @@
   kEvacuationsUnread,
   // Owners count on the last capacity that they read, however old.
   kCapacityNeverOutdated,
+  kNoIntroductions,  // VMs that start are unknown to those without the store
 };
 
 enum class LeaseGuarantee {
@@ -44,11 +45,14 @@
   // No task starts a second after its evacuation was requested, or after the
   // last cut or outage since.
   kEvacuated,
+  // An owner that runs, hears its peers and reaches the store loses no shard
+  // but to a VM that it was offered to.
+  kLivingOwnerKept,
 };
 
-inline constexpr EnumNames<LeaseGuarantee, 7> kLeaseGuaranteeNames{
+inline constexpr EnumNames<LeaseGuarantee, 8> kLeaseGuaranteeNames{
     {"room_kept", "one_run", "true_refusal", "leaving_spared", "one_owner",
-     "graceful_leave", "evacuated"}};
+     "graceful_leave", "evacuated", "living_owner_kept"}};
 
 class LeaseSimulation {
  public:
@@ -73,6 +77,7 @@
     int incarnation_id = 0;
     bool alive = false;
     int paused_until = 0;
+    int replacements = 0;  // VMs that had its place before
     // Callbacks that run when the paused VM resumes.
     std::vector<std::function<void()>> deferred;
     std::uint64_t read_version = 0;
@@ -138,6 +143,9 @@
   void EndFault(const LeaseFault& fault);
   void ReadStore(Vm& vm);
   bool IsStoreDown() const;
+  // Whether the VM has run for a while with its links to peers and the store.
+  bool IsSound(int vm) const;
+  void CheckClaim(const ShardRecord& former, int claimant);
   // The capacity that starts must respect by now.
   static std::int64_t BindingCapacity(const Worker& worker, int now);
   void ReadEvacuations(Vm& vm, Time read_began);
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -189,6 +189,9 @@
                    .busy = {"a"}}},
        .store_version = 12,
        .silent_owners = {"other"},
+       .introduction = Introduction{.data_center = "rif",
+                                    .endpoint = {.ip = 1, .port = 1},
+                                    .power = 0.25},
        .crashes = {{.task = "00000000000000ab.0.0.1", .incarnation = 17}}});
   ForMutations(recorded, 1, [&](const std::string& message) {
     const auto heartbeat = DecodeHeartbeat(message);
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -100,6 +100,18 @@
   }
 }
 
+TEST(PeerCodec, introduction_survives_a_heartbeat) {
+  const auto heartbeat = DecodeHeartbeat(EncodeHeartbeat(
+      {.name = "entry",
+       .introduction = Introduction{.data_center = "rif",
+                                    .endpoint = {.ip = 0x7F000001, .port = 9},
+                                    .power = 0.25}}));
+  CHECK_EQUAL("rif", heartbeat->introduction->data_center);
+  CHECK_EQUAL(9, heartbeat->introduction->endpoint.port);
+  DOUBLES_EQUAL(0.25, heartbeat->introduction->power, 1e-9);
+  CHECK(!DecodeHeartbeat(EncodeHeartbeat({.name = "entry"}))->introduction);
+}
+
 TEST(PeerCodec, crashes_survive_a_row_and_a_heartbeat) {
   const CrashRecord record{.task = "job.0.0.3",
                            .incarnation = 0xFFFF'FFFF'FFFF'FFF1U,
