--- a/Libraries/LibLease/ownership_peers.cc
+++ b/Libraries/LibLease/ownership_peers.cc
@@ -270,7 +270,8 @@
                       .configuration_version = configuration_version,
                       .load = load,
                       .store_version = store_version_,
-                      .silent_owners = SilentOwners(now)};
+                      .silent_owners = SilentOwners(now),
+                      .has_store = has_store_};
   for (const auto& [id, owned] : owned_) {
     heartbeat.shards.push_back({.shard = id,
                                 .version = owned.version,
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -78,6 +78,7 @@
   std::vector<std::string> silent_owners;
   // Evacuations that the sender knows. Earlier builds send none.
   EvacuationTable evacuations;
+  bool has_store = true;  // the store answers the sender's calls
   // Sent until the receiver has answered.
   std::optional<Introduction> introduction;
   // Crashes that the sender found and that did not come back from the store.
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -283,6 +283,10 @@
 
 void LeaseControl::DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now) {
   DetectPause(now);
+  const auto peer = ownership_.peers().find(heartbeat.name);
+  if (peer != ownership_.peers().end() && heartbeat.has_store &&
+      !peer->second.last_heartbeat.has_store)
+    sinks_.peer_regained_store();
   ownership_.DidReceiveHeartbeat(heartbeat, now);
   router_.DidReport(heartbeat.name);
   for (const CrashRecord& record : heartbeat.crashes)
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -31,6 +31,7 @@
     std::function<void(ProbeDataCenter&&)> probe;
     // Reads the operator's table in full, as its state may have changed.
     std::function<void()> read_operator_table = [] {};
+    std::function<void()> peer_regained_store = [] {};
   };
 
   LeaseControl(Ownership::Self self, LeaseTiming timing, EventLog& log)
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -140,7 +140,8 @@
              [this](ProbeDataCenter&& probe) {
                store_->Probe(std::move(probe));
              },
-         .read_operator_table = [this] { store_->BeginReadOperatorTable(); }});
+         .read_operator_table = [this] { store_->BeginReadOperatorTable(); },
+         .peer_regained_store = [this] { store_->DidHearOfStore(); }});
   }
 
   leaf::result<void> Start() {
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -350,6 +350,8 @@
                       {"silent", json::value_from(heartbeat.silent_owners)},
                       // Read by builds that list all VMs they hear.
                       {"hears", json::array()}};
+  if (!heartbeat.has_store)
+    object["store_lost"] = true;
   if (heartbeat.introduction)
     object["introduction"] = ToJson(*heartbeat.introduction);
   if (!heartbeat.evacuations.empty())
@@ -379,6 +381,7 @@
     }
     for (const json::value& shard : object.at("shards").as_array())
       heartbeat.shards.push_back(ToShardStatus(shard.as_object()));
+    heartbeat.has_store = !object.contains("store_lost");
     if (object.contains("introduction"))
       heartbeat.introduction =
           ToIntroduction(object.at("introduction").as_object());
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/digest.h"
 #include "LibFiber/fiber_errors.h"
 #include "LibFiber/fiber_thread.h"
 #include "LibLease/worker_list_sharing.h"
@@ -50,8 +51,6 @@
 // Operators make few mistakes at a time; more are reported again.
 constexpr std::size_t kMostReportedRows = 64;
 constexpr milliseconds kIdlePoll{50};
-// Consecutive failed calls after which the store counts as lost.
-constexpr int kFailuresUntilLost = 2;
 // As many workers as one small VM can easily manage.
 constexpr std::uint32_t kWorkersPerShard = 24;
 // The number of workers must not change for this long before it sets the number
@@ -77,14 +76,15 @@
       shared_workers_timeout_(
           FromMilliseconds(kSharedReadShare * ToMilliseconds(drain_time))),
       control_(control),
-      commands_(commands) {}
+      commands_(commands),
+      availability_({}, static_cast<std::uint32_t>(FastDigest(self_.name))) {}
 
 void StoreLoop::Start() {
   started_at_ = BootClock::now();
-  answered_at_ = started_at_;
   RunLoop("operator_table", [this] { FollowOperatorTable(); });
   RunLoop("shared_table", [this] { FollowSharedTable(); });
   RunLoop("workers", [this] { ReadWorkers(); });
+  RunLoop("store_probe", [this] { ProbeStore(); });
   RunLoop("recall", [this] { RecallLearned(); });
   RunLoop("learned", [this] { KeepLearned(); });
   RunLoop("crashes", [this] { KeepCrashes(); });
@@ -107,15 +107,16 @@
 
 void StoreLoop::DidAnswer() {
   const Time now = BootClock::now();
-  failures_ = 0;
-  if (is_lost_) {
-    is_lost_ = false;
-    control_.ownership().DidRegainStore(now);
-    control_.log()
-        .Write(LogEvent::kStoreRegained, now, LogBudget::kState)
-        .Add(LogField::kAgeMs, now - answered_at_);
-  }
-  answered_at_ = now;
+  const Duration silence = now - availability_.answered_at();
+  const StoreAvailability::Change change = availability_.DidAnswer(now);
+  if (change.abandons_calls)
+    AbandonCalls();
+  if (!change.was_regained)
+    return;
+  control_.ownership().DidRegainStore(now);
+  control_.log()
+      .Write(LogEvent::kStoreRegained, now, LogBudget::kState)
+      .Add(LogField::kAgeMs, silence);
 }
 
 void StoreLoop::DidFail(const StoreError& error) {
@@ -124,17 +125,62 @@
     DidAnswer();
     return;
   }
-  if (++failures_ == kFailuresUntilLost) {
-    is_lost_ = true;
-    control_.ownership().DidLoseStore();
-    control_.log()
-        .Write(LogEvent::kStoreLost, BootClock::now(), LogBudget::kState)
-        .Add(LogField::kCause, kStoreFailureNames[error.failure])
-        .Add(LogField::kReason, error.reason)
-        .Add(LogField::kAgeMs, BootClock::now() - answered_at_);
+  const Time now = BootClock::now();
+  if (!availability_.DidFail(now).was_lost)
+    return;
+  control_.ownership().DidLoseStore();
+  control_.log()
+      .Write(LogEvent::kStoreLost, now, LogBudget::kState)
+      .Add(LogField::kCause, kStoreFailureNames[error.failure])
+      .Add(LogField::kReason, error.reason)
+      .Add(LogField::kAgeMs, now - availability_.answered_at());
+}
+
+void StoreLoop::AwaitStore() {
+  while (availability_.is_lost())
+    SleepFiber(kIdlePoll);
+}
+
+void StoreLoop::ProbeStore() {
+  while (true) {
+    if (availability_.TakeProbe(control_.ownership().peers().size() + 1,
+                                BootClock::now()))
+      fibers_.Run([this] { ProbeOnce(); });
+    SleepFiber(kIdlePoll);
   }
 }
 
+void StoreLoop::ProbeOnce() {
+  RunGuarded("store_probe", [this] {
+    DidCall(store_.ReadChanges(kSharedTable, shared_version_, milliseconds(0),
+                               kCallTimeout));
+  });
+  availability_.DidEndProbe();
+}
+
+void StoreLoop::DidHearOfStore() {
+  if (availability_.DidHearOfReturn(BootClock::now()).abandons_calls)
+    AbandonCalls();
+}
+
+std::optional<platform::StoreResult<RowPage>> StoreLoop::CallUnlessAbandoned(
+    std::function<platform::StoreResult<RowPage>()> call) {
+  const auto pending = std::make_shared<PendingCall>();
+  pending_calls_.insert(pending);
+  fibers_.Run([pending, call = std::move(call)] {
+    RunGuarded("store_call", [&] { pending->result = call(); });
+    pending->signal.Raise();
+  });
+  pending->signal.Wait();
+  pending_calls_.erase(pending);
+  return pending->result;
+}
+
+void StoreLoop::AbandonCalls() {
+  for (const auto& pending : pending_calls_)
+    pending->signal.Raise();
+}
+
 template <typename Apply>
 void StoreLoop::Follow(const std::string& table,
                        milliseconds wait,
@@ -143,11 +189,19 @@
   bool has_read = false;
   PageOrigin origin;
   while (true) {
+    AwaitStore();
     origin.is_full = !has_read;
     origin.requested = BootClock::now();
-    platform::StoreResult<RowPage> page =
-        has_read ? store_.ReadChanges(table, version, wait, wait + kAnswerSlack)
+    const auto answer = CallUnlessAbandoned([=, this] {
+      return has_read
+                 ? store_.ReadChanges(table, version, wait, wait + kAnswerSlack)
                  : store_.Read(table, kCallTimeout);
+    });
+    if (!answer) {
+      SleepFiber(kIdlePoll);
+      continue;
+    }
+    const platform::StoreResult<RowPage>& page = *answer;
     DidCall(page);
     if (!page) {
       // The store no longer has the changes since `version`: the whole table is
@@ -162,8 +216,10 @@
     version = page->version;
     apply(*page, origin);
     origin.previous = BootClock::now();
-    if (table == kSharedTable)
+    if (table == kSharedTable) {
+      shared_version_ = version;
       control_.ownership().DidReadStoreThrough(version);
+    }
     if (table == kSharedTable && !is_announced_)
       fibers_.Run([this] { AnnounceMember(); });
     control_.Pump(BootClock::now());
@@ -259,6 +315,7 @@
   // Repeated if the process was paused during the read: its answer may be older
   // than the pause.
   do {
+    AwaitStore();
     const Time requested = BootClock::now();
     platform::StoreResult<RowPage> page =
         store_.Read(platform::kOperatorTable, kCallTimeout);
@@ -290,6 +347,7 @@
 
 void StoreLoop::RecallLearned() {
   while (true) {
+    AwaitStore();
     const platform::StoreResult<RowPage> page =
         store_.Read(kLearnedTable, kCallTimeout);
     DidCall(page);
@@ -315,11 +373,11 @@
     SleepFiber(kLearnedInterval);
     const LeaseDispatcher& dispatcher = control_.dispatcher();
     // A VM that is to own workers later needs what is learned until then.
-    if (!is_lost_ && dispatcher.workers().empty() &&
+    if (!availability_.is_lost() && dispatcher.workers().empty() &&
         BootClock::now() - recalled_at_ >= kRecallInterval)
       RecallLearned();
     const LearnedQueues queues = dispatcher.Learned();
-    if (is_lost_ || queues.empty() ||
+    if (availability_.is_lost() || queues.empty() ||
         !IsListReader(control_.ownership(), BootClock::now()))
       continue;
     DidCall(store_.Change(EncodeLearnedQueues(self_.data_center, queues),
@@ -339,6 +397,7 @@
 void StoreLoop::KeepCrashes() {
   while (true) {
     SleepFiber(kCrashesInterval);
+    AwaitStore();
     CrashHistory& crashes = control_.dispatcher().crashes();
     const Time now = BootClock::now();
     crashes.Expire(control_.ownership().OwnsAny() &&
@@ -388,6 +447,7 @@
     return;
   is_announcing_ = true;
   while (!is_announced_ && !is_leaving_) {
+    AwaitStore();
     const auto written =
         store_.Change(EncodeMember(self_, member_version_), kCallTimeout);
     DidCall(written);
@@ -484,7 +544,7 @@
 
 void StoreLoop::ReadWorkers() {
   while (true) {
-    if (!NeedsWorkers(BootClock::now())) {
+    if (availability_.is_lost() || !NeedsWorkers(BootClock::now())) {
       SleepFiber(kIdlePoll);
       continue;
     }
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -5,12 +5,16 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
+#include "LibFiber/await.h"
 #include "LibFiber/fiber_pool.h"
 #include "LibHttp/connection_pool.h"
+#include "LibLease/store_availability.h"
 #include "LibLeaseEntry/command_sender.h"
 #include "LibLeaseEntry/lease_control.h"
 #include "LibLeaseEntry/peer_codec.h"
@@ -40,6 +44,8 @@
   // Handles the configuration version of a peer; reads the configuration if it
   // is newer than this VM's.
   void DidLearnVersion(std::uint64_t version);
+  // A peer reaches the store again.
+  void DidHearOfStore();
   // Reads the operator's table in full, at least until starts are no longer
   // held for it.
   void BeginReadOperatorTable();
@@ -79,6 +85,17 @@
   void InitializeShardCounts(Time now);
   void ReadOperatorTable();
 
+  // Suspends the fiber while the store counts as lost.
+  void AwaitStore();
+  // Probes the store while calls fail. The other loops wait meanwhile.
+  void ProbeStore();
+  void ProbeOnce();
+  // Performs a call in another fiber. Returns nothing if the call is abandoned,
+  // since it may wait for an answer that never comes.
+  std::optional<platform::StoreResult<RowPage>> CallUnlessAbandoned(
+      std::function<platform::StoreResult<RowPage>()> call);
+  void AbandonCalls();
+
   // What a page of a table holds: all rows, or those changed since the last
   // one.
   struct PageOrigin {
@@ -116,10 +133,15 @@
   LeaseControl& control_;
   CommandSender& commands_;
   FiberPool fibers_;
-  int failures_ = 0;  // consecutive
-  bool is_lost_ = false;
+  StoreAvailability availability_;
+  // Shared with the fiber that performs the call, which may end later.
+  struct PendingCall {
+    FiberSignal signal;
+    std::optional<platform::StoreResult<RowPage>> result;
+  };
+  std::set<std::shared_ptr<PendingCall>> pending_calls_;
+  std::uint64_t shared_version_ = 0;  // of the shared table, as last read
   Time started_at_{};
-  Time answered_at_{};
   Time recalled_at_{};
   // As the store holds them for this data centre.
   LearnedClasses stored_classes_;
