LibLease: Serve lists of workers to owners without the store

Cause: the first owner of a data centre reads the registrations for the others, whether the store answers it or not.

Change: the reader of a data centre is the first owner that reaches the store. Where no owner does, the first reader of another data centre sends the lists.

Tests: both new cases were red.

--- a/Libraries/LibLease/worker_list_sharing.h
+++ b/Libraries/LibLease/worker_list_sharing.h
@@ -6,6 +6,10 @@
 // owner of each data centre reads them and sends to each other owner there the
 // workers of its shards. An owner that gets no list reads the registrations
 // itself.
+//
+// During a partial outage of the store, owners that do not reach it get their
+// list from a reader of their data centre, or from the first reader of another
+// one: the registrations show capacities that have changed.
 #pragma once
 
 #include <string>
--- a/Tests/LibLease/worker_list_sharing_test.cc
+++ b/Tests/LibLease/worker_list_sharing_test.cc
@@ -16,7 +16,7 @@
 
   // A VM of `data_center` sends a heartbeat as owner of a shard of `shard_dc`.
   void HearOwner(const std::string& name, const std::string& data_center,
-                 const std::string& shard_dc) {
+                 const std::string& shard_dc, bool has_store = true) {
     ownership.DidReadMember({.name = name,
                              .data_center = data_center,
                              .endpoint = {.ip = 1, .port = 1},
@@ -26,7 +26,8 @@
         {.name = name,
          .incarnation = 3,
          .shards = {{.shard = {.data_center = shard_dc, .index = 7},
-                     .version = 10}}},
+                     .version = 10}},
+         .has_store = has_store},
         now);
   }
 
@@ -68,6 +69,31 @@
   CHECK(IsListReader(ownership, now));
 }
 
+// Owners that lacked the store went on with old capacities while the VMs next
+// to them read the new ones.
+TEST(WorkerListSharing, reader_without_the_store_is_replaced_and_served) {
+  OwnShard("rif");
+  HearOwner("vm2", "rif", "rif", /*has_store=*/false);
+  CHECK(IsListReader(ownership, now));
+  const auto receivers = ListReceivers(ownership, now);
+  CHECK_EQUAL(1, receivers.size());
+  STRCMP_EQUAL("vm2", receivers[0].name.c_str());
+}
+
+TEST(WorkerListSharing, data_center_without_the_store_is_served_from_another) {
+  OwnShard("rif");
+  HearOwner("vm1", "tanger", "tanger", /*has_store=*/false);
+  HearOwner("vm2", "tanger", "tanger", /*has_store=*/false);
+  CHECK_EQUAL(2, ListReceivers(ownership, now).size());
+  HearOwner("vm0", "oued-laou", "oued-laou");
+  CHECK(ListReceivers(ownership, now).empty());
+  HearOwner("vm0", "oued-laou", "oued-laou", /*has_store=*/false);
+  HearOwner("vm7", "tanger", "tanger");
+  const auto receivers = ListReceivers(ownership, now);
+  CHECK_EQUAL(1, receivers.size());
+  STRCMP_EQUAL("vm0", receivers[0].name.c_str());
+}
+
 // All VMs that probed a data centre connected to the same three workers, beyond
 // the 64 connections that a worker accepts.
 TEST(WorkerListSharing, vms_probe_different_workers) {
