LibLease, LibLeaseEntry: Split two large files by subject

Admission of LeaseDispatcher has a file of its own, and the records in the store are apart from the messages between VMs; the readers of JSON fields that both use are in message_json.h. Two free functions become members of what they describe: LeasedRun::TimeLeft and LeasedWorker::CountsForAdmission.

--- a/Libraries/LibLease/lease_counters.h
+++ b/Libraries/LibLease/lease_counters.h
@@ -48,6 +48,15 @@
   std::uint64_t late_starts = 0;  // of tasks, predicted to end too late
   std::uint64_t exclusions = 0;   // of workers that failed tasks
   std::map<std::string, std::uint64_t> over_share;  // refusals, by queue
+
+  // Labels of a metric are kept for the life of the process, so that queues
+  // beyond a limit share one.
+  void CountOverShare(const std::string& queue) {
+    constexpr std::size_t kMostLabels = 32;
+    const bool has_label =
+        over_share.contains(queue) || over_share.size() < kMostLabels;
+    ++over_share[has_label ? queue : "other"];
+  }
 };
 
 }  // namespace mustardbank
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -125,6 +125,10 @@
   void set_limits_queues(bool limits_queues) { limits_queues_ = limits_queues; }
 
  private:
+  // Bounds of the retry delay of a refused job, which is the predicted overrun.
+  static constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(250);
+  static constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
+
   enum class TaskState { kWaiting, kLive, kDone };
 
   struct Task {
@@ -174,7 +178,7 @@
     auto operator<=>(const QueueKey&) const = default;
   };
 
-  // Queue.
+  // Admission and queue.
   void Estimate(Job& job, Time now);
   std::optional<JobResult> CheckAdmission(const Job& job, Time now);
   std::optional<JobResult> CheckShare(const Job& job,
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -44,6 +44,12 @@
   std::uint64_t first_probe = 0;
   bool stop_in_flight = false;
   Time stop_again;  // earliest time of the next stop command
+
+  // A run that has exceeded its expected time is assumed to need a tenth of
+  // that time more.
+  Duration TimeLeft(Time now) const {
+    return std::max(expected / 10, expected - (now - started));
+  }
 };
 
 // A start command that was never answered and whose lease has lapsed by the
@@ -179,6 +185,12 @@
     return false;
   }
 
+  // Whether the capacity counts for the admission of jobs.
+  bool CountsForAdmission() const {
+    return phase == WorkerPhase::kHeld && !entry.leaving && !releasing &&
+           !is_evacuated && outcome_health.strikes() <= 1;
+  }
+
   IncarnationId IncarnationKey() const {
     return IncarnationIdOf(entry.id,
                            incarnation != 0 ? incarnation : entry.incarnation);
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -18,6 +18,7 @@
 #include "LibLeaseEntry/command_sender.h"
 #include "LibLeaseEntry/lease_control.h"
 #include "LibLeaseEntry/peer_codec.h"
+#include "LibLeaseEntry/store_records.h"
 #include "platform/row_store_client.h"
 
 namespace mustardbank {
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -11,6 +11,7 @@
 #include "LibHttp/http_server.h"
 #include "LibLeaseEntry/lease_control.h"
 #include "LibLeaseEntry/peer_codec.h"
+#include "LibLeaseEntry/store_records.h"
 #include "message_mutator.h"
 #include "platform/caller_protocol.h"
 #include "platform/registry_codec.h"
--- a/Tests/LibLeaseEntry/peer_codec_test.cc
+++ b/Tests/LibLeaseEntry/peer_codec_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "LibLeaseEntry/peer_codec.h"
+#include "LibLeaseEntry/store_records.h"
 
 namespace mustardbank {
 
