LibLeaseEntry: Split the loops of the store by subject

Moves only: the registrations of workers, and what is kept for later processes, have files of their own. The constants that all loops use are members.

--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -1,3 +1,6 @@
+// Calls to the store, the tables that the loops follow, and what is written
+// there. The registrations of workers are in store_loop_workers.cc, what is
+// kept for later processes in store_loop_learned.cc.
 #include "LibLeaseEntry/store_loop.h"
 
 #include <algorithm>
@@ -15,12 +18,8 @@
 
 using std::chrono::milliseconds;
 
-// A write takes 10 ms, and up to 600 ms when the store is slow.
-constexpr milliseconds kCallTimeout{1000};
 // Enough for the answer of a healthy store.
 constexpr milliseconds kMinTimeout{50};
-// The end of a store outage is only noticed by retrying.
-constexpr milliseconds kRetryDelay{250};
 // The store answers a request for changes after this time if there is none, so
 // that a dead connection is noticed by the missing answer. A change of
 // configuration must take effect within 2 s; a dead connection may add 3 s.
@@ -36,29 +35,8 @@
 // of their changes, by a millisecond for each VM, takes fewer calls.
 constexpr milliseconds kChangesDelayPerVm{1};
 constexpr milliseconds kLongestChangesDelay{300};
-constexpr milliseconds kShareTimeout{300};
-// Queues change slowly, and calls to the store are paid for.
-constexpr milliseconds kLearnedInterval{10'000};
-constexpr milliseconds kRecallInterval{60'000};
-// A suspected task starts again when its lease has lapsed, 0.9 s after a crash,
-// and each change of the table is a call of every VM.
-constexpr milliseconds kCrashesInterval{200};
-// VMs of a data centre that count its workers at the first start, and the time
-// after which one more does.
-constexpr std::int64_t kWorkerCounters = 2;
-constexpr std::int64_t kCountingPatienceS = 2;
-constexpr milliseconds kWorkersRetry{200};
 // Operators make few mistakes at a time; more are reported again.
 constexpr std::size_t kMostReportedRows = 64;
-constexpr milliseconds kIdlePoll{50};
-// As many workers as one small VM can easily manage.
-constexpr std::uint32_t kWorkersPerShard = 24;
-// The number of workers must not change for this long before it sets the number
-// of shards. When a deployment first starts, its workers register over 1.5 s,
-// one of their heartbeat intervals.
-constexpr Duration kStableCountPeriod = std::chrono::milliseconds(1900);
-// Probes are repeated at shorter intervals for as long as they are needed.
-constexpr Duration kProbingTime = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -97,14 +75,6 @@
   });
 }
 
-template <typename T>
-void StoreLoop::DidCall(const platform::StoreResult<T>& result) {
-  if (result)
-    DidAnswer();
-  else
-    DidFail(result.error());
-}
-
 void StoreLoop::DidAnswer() {
   const Time now = BootClock::now();
   const Duration silence = now - availability_.answered_at();
@@ -330,118 +300,6 @@
   } while (control_.AwaitsOperatorTable());
 }
 
-bool StoreLoop::RecallRow(const StoreRow& row) {
-  if (HoldsLearnedClasses(row)) {
-    const auto classes = DecodeLearnedClasses(row);
-    if (classes)
-      control_.dispatcher().Recall(*classes);
-    if (classes && row.key == LearnedClassesKey(self_.data_center))
-      stored_classes_ = *classes;
-    return classes.has_value();
-  }
-  const auto queues = DecodeLearnedQueues(row);
-  if (queues)
-    control_.dispatcher().Recall(*queues, BootClock::now());
-  return queues.has_value();
-}
-
-void StoreLoop::RecallLearned() {
-  while (true) {
-    AwaitStore();
-    const platform::StoreResult<RowPage> page =
-        store_.Read(kLearnedTable, kCallTimeout);
-    DidCall(page);
-    if (!page) {
-      SleepFiber(kRetryDelay);
-      continue;
-    }
-    for (const StoreRow& row : page->rows) {
-      if (RecallRow(row))
-        continue;
-      control_.log()
-          .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
-                 LogBudget::kState)
-          .Add(LogField::kReason, row.key);
-    }
-    recalled_at_ = BootClock::now();
-    return;
-  }
-}
-
-void StoreLoop::KeepLearned() {
-  while (true) {
-    SleepFiber(kLearnedInterval);
-    const LeaseDispatcher& dispatcher = control_.dispatcher();
-    // A VM that is to own workers later needs what is learned until then.
-    if (!availability_.is_lost() && dispatcher.workers().empty() &&
-        BootClock::now() - recalled_at_ >= kRecallInterval)
-      RecallLearned();
-    const LearnedQueues queues = dispatcher.Learned();
-    if (availability_.is_lost() || queues.empty() ||
-        !IsListReader(control_.ownership(), BootClock::now()))
-      continue;
-    DidCall(store_.Change(EncodeLearnedQueues(self_.data_center, queues),
-                          kCallTimeout));
-    const LearnedClasses classes = dispatcher.LearnedWorkers();
-    // An empty row replaces one that no longer holds.
-    if (classes == stored_classes_)
-      continue;
-    const auto written = store_.Change(
-        EncodeLearnedClasses(self_.data_center, classes), kCallTimeout);
-    DidCall(written);
-    if (written)
-      stored_classes_ = classes;
-  }
-}
-
-void StoreLoop::KeepCrashes() {
-  while (true) {
-    SleepFiber(kCrashesInterval);
-    AwaitStore();
-    CrashHistory& crashes = control_.dispatcher().crashes();
-    const Time now = BootClock::now();
-    crashes.Expire(control_.ownership().OwnsAny() &&
-                       IsListReader(control_.ownership(), now),
-                   now);
-    const auto changes =
-        crashes.TakeChanges(platform::RowStoreClient::kMostChanges);
-    if (changes.empty())
-      continue;
-    std::vector<RowChange> rows;
-    rows.reserve(changes.size());
-    for (const CrashHistory::Change& change : changes)
-      rows.push_back(EncodeCrash(change));
-    const auto written = store_.Change(rows, kCallTimeout);
-    DidCall(written);
-    if (written)
-      continue;
-    // Changes that the store can't read would hold up all later ones.
-    if (written.error().failure == StoreFailure::kMalformed)
-      control_.log()
-          .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
-                 LogBudget::kState)
-          .Add(LogField::kCount, changes.size())
-          .Add(LogField::kReason, "crashes: " + written.error().reason);
-    else
-      crashes.ReturnChanges(changes);
-    SleepFiber(kRetryDelay);
-  }
-}
-
-void StoreLoop::ApplyCrashRow(const StoreRow& row) {
-  CrashHistory& crashes = control_.dispatcher().crashes();
-  const Time now = BootClock::now();
-  const auto record = DecodeCrash(row);
-  if (!record)
-    control_.log()
-        .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
-        .Add(LogField::kReason, row.key);
-  else if (row.deleted)
-    crashes.Unlearn(record->task, record->incarnation);
-  else
-    crashes.Learn(*record, now);
-}
-
 void StoreLoop::AnnounceMember() {
   if (is_announcing_)
     return;
@@ -513,157 +371,6 @@
   }
 }
 
-bool StoreLoop::NeedsWorkers(Time now) const {
-  if (control_.NeedsFreshWorkerList())
-    return true;
-  const Ownership& ownership = control_.ownership();
-  const Duration age = now - control_.workers_read_at();
-  if (is_list_partial_ && IsProbing(now))
-    return true;
-  if (IsProbing(now) || IsCountingWorkers(now))
-    return age >= workers_interval_;
-  return ownership.OwnsAny() &&
-         age >= (IsListReader(ownership, now) ? workers_interval_
-                                              : shared_workers_timeout_);
-}
-
-bool StoreLoop::IsProbing(Time now) const {
-  return probed_at_ && now - *probed_at_ < kProbingTime;
-}
-
-// Until a record sets the number of shards, workers have to be counted. A few
-// VMs of a data centre are enough; others join in if these fail to do it.
-bool StoreLoop::IsCountingWorkers(Time now) const {
-  if (control_.ownership().ShardCount(self_.data_center) > 0)
-    return false;
-  const auto elapsed =
-      std::chrono::duration_cast<std::chrono::seconds>(now - started_at_);
-  return control_.ownership().RankInDataCenter() <
-         kWorkerCounters + elapsed.count() / kCountingPatienceS;
-}
-
-void StoreLoop::ReadWorkers() {
-  while (true) {
-    if (availability_.is_lost() || !NeedsWorkers(BootClock::now())) {
-      SleepFiber(kIdlePoll);
-      continue;
-    }
-    if (ReadWorkersOnce())
-      ShareWorkers();
-    else
-      SleepFiber(kWorkersRetry);
-  }
-}
-
-void StoreLoop::ShareWorkers() {
-  const Time now = BootClock::now();
-  for (ListReceiver& receiver : ListReceivers(control_.ownership(), now)) {
-    fibers_.Run([this, receiver = std::move(receiver)] {
-      const Time sent = BootClock::now();
-      const HttpResult<HttpResponse> response = peers_.Exchange(
-          receiver.endpoint,
-          HttpRequest{.method = "POST",
-                      .target = std::string(kPeerWorkerList),
-                      .headers = {{"Content-Type", std::string(kJsonType)}},
-                      .body = EncodeWorkerList(
-                          {.read_at = control_.workers_read_at(),
-                           .shards = receiver.shards,
-                           .workers = control_.WorkersOf(receiver.shards)},
-                          sent)},
-          kShareTimeout);
-      if (response && response->status == 200)
-        return;
-      peers_.Forget(receiver.endpoint);
-      control_.log()
-          .Write(LogEvent::kWorkersNotShared, sent)
-          .Add(LogField::kPeer, receiver.name)
-          .Add(LogField::kReason,
-               response ? "status " + std::to_string(response->status)
-                        : response.error().reason);
-    });
-  }
-}
-
-HttpResponse StoreLoop::ServeWorkerList(const HttpRequest& request) {
-  const Time now = BootClock::now();
-  auto list = DecodeWorkerList(request.body, now);
-  if (!list) {
-    control_.log()
-        .Write(LogEvent::kRequestMalformed, now)
-        .Add(LogField::kReason, "malformed list of workers from a peer");
-    return {.status = 400};
-  }
-  // Probes need the workers of other data centres, too.
-  if (IsProbing(now))
-    return {};
-  is_list_partial_ = true;
-  control_.SetWorkersOfShards(list->shards, std::move(list->workers),
-                              list->read_at, now);
-  control_.Pump(now);
-  return {};
-}
-
-bool StoreLoop::ReadWorkersOnce() {
-  platform::StoreResult<RowPage> page =
-      store_.Read(platform::kWorkerTable, kCallTimeout);
-  DidCall(page);
-  if (!page)
-    return false;
-  const Time now = BootClock::now();
-  std::map<std::string, CachedWorker> cache;
-  std::vector<WorkerEntry> workers;
-  for (const StoreRow& row : page->rows) {
-    const auto known = cache_.find(row.key);
-    if (known != cache_.end() && known->second.version == row.version) {
-      cache.insert(*known);
-    } else {
-      const auto entry = platform::DecodeWorker(row);
-      const bool was_unreadable = known != cache_.end() && !known->second.entry;
-      if (!entry && !was_unreadable) {
-        control_.log()
-            .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
-            .Add(LogField::kWorker, row.key)
-            .Add(LogField::kReason, entry.error().reason);
-      }
-      cache[row.key] = {row.version,
-                        entry ? std::optional(*entry) : std::nullopt};
-    }
-    if (const auto& entry = cache[row.key].entry)
-      workers.push_back(*entry);
-  }
-  cache_ = std::move(cache);
-  is_list_partial_ = false;
-  control_.SetWorkers(std::move(workers), now);
-  control_.Pump(now);
-  InitializeShardCounts(now);
-  return true;
-}
-
-void StoreLoop::InitializeShardCounts(Time now) {
-  std::map<std::string, std::uint32_t> workers;
-  for (const WorkerEntry& entry : control_.workers())
-    ++workers[entry.data_center];
-  for (const auto& [data_center, count] : workers) {
-    if (control_.ownership().ShardCount(data_center) > 0)
-      continue;
-    WorkerCount& counted = worker_counts_[data_center];
-    if (counted.workers != count) {
-      counted = {.workers = count, .since = now};
-      continue;
-    }
-    if (now - counted.since < kStableCountPeriod)
-      continue;
-    // FIXME: The number of shards stays the same when a data centre grows to
-    // several times its workers. To change it, owners would have to claim the
-    // shards again, for higher fencing tokens.
-    const ShardCountRecord record{
-        .data_center = data_center,
-        .count = (count + kWorkersPerShard - 1) / kWorkersPerShard};
-    const auto written = store_.Change(EncodeShardCount(record), kCallTimeout);
-    DidCall(written);
-  }
-}
-
 void StoreLoop::Claim(ClaimShard&& claim) {
   fibers_.Run([this, claim = std::move(claim)] {
     const auto written = store_.Change(
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -57,6 +57,11 @@
   std::uint64_t calls() const { return store_.calls(); }
 
  private:
+  // A write takes 10 ms, and up to 600 ms when the store is slow.
+  static constexpr std::chrono::milliseconds kCallTimeout{1000};
+  static constexpr std::chrono::milliseconds kRetryDelay{250};
+  static constexpr std::chrono::milliseconds kIdlePoll{50};
+
   // Starts a loop in a fiber, and again after an exception.
   void RunLoop(std::string_view name, std::function<void()> loop);
   void FollowOperatorTable();
@@ -122,7 +127,12 @@
   std::chrono::milliseconds ChangesDelay() const;
   // Tracks from the results of calls whether the store answers.
   template <typename T>
-  void DidCall(const platform::StoreResult<T>& result);
+  void DidCall(const platform::StoreResult<T>& result) {
+    if (result)
+      DidAnswer();
+    else
+      DidFail(result.error());
+  }
   void DidAnswer();
   void DidFail(const StoreError& error);
 
