LibLease: Log and count workers whose capacity is unconfirmed

An operator could not tell refusals for lack of capacity from those during an outage of the store: the log said nothing of the smaller capacity. Two lines of state and a gauge say since when it holds, and for how many workers.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -42,6 +42,8 @@
   kWorkerExcluded,
   kWorkerLost,
   kWorkerCapacity,
+  kCapacityUnconfirmed,
+  kCapacityConfirmed,
   kWorkersNotShared,
   kJobReceived,
   kJobForwarded,
@@ -60,7 +62,7 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 43> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 45> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -88,6 +90,8 @@
      "worker_excluded",
      "worker_lost",
      "worker_capacity",
+     "capacity_unconfirmed",
+     "capacity_confirmed",
      "workers_not_shared",
      "job_received",
      "job_forwarded",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -106,6 +106,8 @@
   std::size_t job_count() const { return jobs_.size(); }
   std::size_t queued_jobs() const { return queue_.size(); }
   OwnerLoad Load(Time now) const;
+  // Workers whose capacity may have changed since they registered.
+  std::size_t UnconfirmedWorkers(Time now) const;
   const LeaseCounters& counters() const { return counters_; }
   const WorkerSpeeds& speeds() const { return speeds_; }
   CrashHistory& crashes() { return crashes_; }
@@ -253,6 +255,7 @@
                         const WorkerEntry& entry,
                         Time now);
   void UpdateConfirmation(LeasedWorker& worker, Time now);
+  void LogUnconfirmed(Time now);
   void EndAllRuns(LeasedWorker& worker, RunEnd end, Time now);
   // Logs and records that the worker was lost with all its runs.
   void DidLoseWorker(LeasedWorker& worker, LossEvidence evidence, Time now);
@@ -332,6 +335,8 @@
   CallerTimeouts caller_timeouts_;
   WorkerSpeeds speeds_;
   UnconfirmedCapacity unconfirmed_capacity_;
+  // Since when some capacity is unconfirmed, for the log.
+  std::optional<Time> unconfirmed_since_;
   Time speeds_fitted_at_;
   CrashHistory crashes_;
   CrashLimits crash_limits_;
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -96,6 +96,29 @@
                                              worker.clock_ms, worker.clock_at);
 }
 
+std::size_t LeaseDispatcher::UnconfirmedWorkers(Time now) const {
+  return static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        return entry.second.phase == WorkerPhase::kHeld &&
+               now > entry.second.confirmed_until;
+      }));
+}
+
+void LeaseDispatcher::LogUnconfirmed(Time now) {
+  const std::size_t workers = UnconfirmedWorkers(now);
+  if ((workers > 0) == unconfirmed_since_.has_value())
+    return;
+  if (workers > 0) {
+    unconfirmed_since_ = now;
+    log_.Write(LogEvent::kCapacityUnconfirmed, now, LogBudget::kState)
+        .Add(LogField::kCount, workers);
+    return;
+  }
+  log_.Write(LogEvent::kCapacityConfirmed, now, LogBudget::kState)
+      .Add(LogField::kElapsedMs, now - *unconfirmed_since_);
+  unconfirmed_since_.reset();
+}
+
 void LeaseDispatcher::ReadClock(LeasedWorker& worker,
                                 std::int64_t clock_ms,
                                 Time now) {
@@ -581,6 +604,7 @@
     speeds_fitted_at_ = now;
     speeds_.Fit();
   }
+  LogUnconfirmed(now);
   RefuseOverdue(now);
   EndEvacuatedJobs(now);
   // Queued tasks are tried at each tick, since the exclusion of a worker ends
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -78,6 +78,9 @@
   const OwnerLoad load = dispatcher.Load(now);
   writer.Gauge("workers_owned", "Workers that this VM orders",
                static_cast<double>(dispatcher.workers().size()));
+  writer.Gauge("workers_unconfirmed",
+               "Workers whose registration is too old to show their capacity",
+               static_cast<double>(dispatcher.UnconfirmedWorkers(now)));
   double least = 0;
   double greatest = 0;
   for (const auto& [id, worker] : dispatcher.workers()) {
--- a/Libraries/LibLeaseEntry/request_history.cc
+++ b/Libraries/LibLeaseEntry/request_history.cc
@@ -36,6 +36,8 @@
     case LogEvent::kShardReleased:
     case LogEvent::kWorkerPhase:
     case LogEvent::kWorkerExcluded:
+    case LogEvent::kCapacityUnconfirmed:
+    case LogEvent::kCapacityConfirmed:
       return true;
     default:
       return false;
--- a/Meta/mustardbank.sh
+++ b/Meta/mustardbank.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 BUILD=Build
-LEASE_GUARANTEES="room_kept one_run true_refusal leaving_spared one_owner graceful_leave evacuated"
+LEASE_GUARANTEES="room_kept one_run true_refusal leaving_spared one_owner graceful_leave evacuated living_owner_kept"
 GUARANTEES="starts_once whole_or_failed right_caller true_refusals at_most_once leaving_drained graceful_stop config_in_force"
 PACKAGES="g++ cmake ninja-build ccache lld clang-format clang-tidy curl jq
   libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev
