LibLease: Let reports that name the capacity confirm it

Cause: only registrations confirmed a capacity.

Change: a report that names the capacity confirms it for as long as a registration would. Test 'report_that_names_the_capacity_confirms_it'.

The stand-in of the platform registers the workers' clocks, too, so that process tests and the soak reach the capacities that can't be confirmed.

--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -90,10 +90,12 @@
   // The worker has restarted since it registered.
   const bool is_outdated = worker.entry.incarnation != 0 &&
                            worker.entry.incarnation < worker.incarnation;
-  worker.confirmed_until = is_outdated ? Time::min()
-                                       : unconfirmed_capacity_.ConfirmedUntil(
-                                             worker.entry.registered.ms,
-                                             worker.clock_ms, worker.clock_at);
+  const Time registered_until =
+      is_outdated
+          ? Time::min()
+          : unconfirmed_capacity_.ConfirmedUntil(
+                worker.entry.registered.ms, worker.clock_ms, worker.clock_at);
+  worker.confirmed_until = std::max(registered_until, worker.reported_until);
 }
 
 std::size_t LeaseDispatcher::UnconfirmedWorkers(Time now) const {
@@ -364,6 +366,7 @@
     }
     worker.has_report = false;
     worker.reported_capacity.reset();
+    worker.reported_until = Time::min();
   }
   worker.incarnation = report.incarnation;
   if (worker.lost == worker.IncarnationKey()) {
@@ -434,8 +437,11 @@
   // Answers to overlapping renewals may arrive in another order.
   const bool is_older =
       worker.has_report && report.clock_ms < worker.report_clock_ms;
-  if (!report.capacity || is_older ||
-      report.capacity == worker.reported_capacity)
+  if (!report.capacity || is_older)
+    return;
+  worker.reported_until = unconfirmed_capacity_.ConfirmedUntil(
+      report.clock_ms, report.clock_ms, now);
+  if (report.capacity == worker.reported_capacity)
     return;
   if (*report.capacity !=
       worker.reported_capacity.value_or(worker.entry.capacity))
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -116,6 +116,8 @@
   // The capacity may have changed since the registration after this time, and
   // starts then count on `unconfirmed_capacity` at most.
   Time confirmed_until = Time::max();
+  // The same from reports of this incarnation that named the capacity.
+  Time reported_until = Time::min();
   Resources unconfirmed_capacity;
   Resources largest_capacity;  // registered so far
   // Its data centre is evacuated. Tasks of jobs that have started may still
--- a/Tests/LibLease/capacity_test.cc
+++ b/Tests/LibLease/capacity_test.cc
@@ -95,6 +95,15 @@
   CHECK_EQUAL(0, StartsOf(1, 27'000));
 }
 
+TEST(Capacity, report_that_names_the_capacity_confirms_it) {
+  const WorkerEntry entry = Register(64'000);
+  fixture.OwnVerified(entry);
+  PassOutage(kValidity);
+  fixture.Advance(milliseconds(700));
+  fixture.AnswerRenewals({.capacity = entry.capacity});
+  CHECK_EQUAL(2, StartsOf(2, 27'000));
+}
+
 // Lists of other VMs may arrive in another order than they were read.
 TEST(Capacity, older_registration_never_raises_the_capacity) {
   const WorkerEntry older = Register(64'000);
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -256,6 +256,7 @@
            {{"cpu", worker->millicores}, {"memMb", 131072}, {"gpu", 0}}},
           {"labels", json::array{"a"}},
           {"born", worker->model->started_at() + 1},
+          {"clockMs", worker->model->ClockAt(NowMs())},
           {"sequence", ++sequence_}};
       store.Put("servers", worker->id, EncodeBase64(json::serialize(entry)));
     }
