--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -211,7 +211,9 @@
       {"worker_heartbeat_ms", 1500},
       {"capacity_notice_ms", 3000},
       {"configuration_ms", 2000}});
-  const std::string log = folder_ + '/' + name + ".log";
+  const std::string log = folder_ + '/' + name + '.' +
+                          std::to_string(++entry.starts) + ".log";
+  entry.peers = {};
   entry.process = std::make_unique<Process>(
       std::vector<std::string>{"target/mustardbank", "lease-entry",
                                file},
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -100,6 +100,7 @@
  private:
   struct Entry {
     std::unique_ptr<Process> process;
+    int starts = 0;
     std::unique_ptr<mustardbank::HttpServer> store;  // its way to the store
     std::map<std::string, std::string> addresses;
     mustardbank::Endpoint callers;
