--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -184,13 +184,15 @@
                             std::map<std::string, std::string> addresses) {
   Entry& entry = entries_[name];
   entry.addresses = std::move(addresses);
-  entry.store = std::make_unique<HttpServer>(
-      HttpServerLimits{}, [this, &entry](HttpRequest&& request) {
-        return store_.Serve(request, entry.addresses);
-      });
-  const Endpoint store =
-      entry.store->Listen({&thread_}, Endpoint{.ip = kLoopback, .port = 0})
-          .value();
+  if (!entry.store) {
+    entry.store = std::make_unique<HttpServer>(
+        HttpServerLimits{}, [this, &entry](HttpRequest&& request) {
+          return store_.Serve(request, entry.addresses);
+        });
+    entry.store_endpoint =
+        entry.store->Listen({&thread_}, Endpoint{.ip = kLoopback, .port = 0})
+            .value();
+  }
   // As the template of the deploy file yields it, with free ports.
   const std::string file = folder_ + '/' + name + ".json";
   std::ofstream(file) << json::serialize(json::object{
@@ -201,7 +203,7 @@
       {"ip", "127.0.0.1"},
       {"peer_port", 0},
       {"metrics_port", 0},
-      {"store", store.ToString()},
+      {"store", entry.store_endpoint.ToString()},
       {"processors", json::object{{"share", 0.25}, {"speed", 1}}},
       {"memory_mb", 260},
       {"longest_lease_ms", 1000},
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -102,6 +102,7 @@
     std::unique_ptr<Process> process;
     int starts = 0;
     std::unique_ptr<mustardbank::HttpServer> store;  // its way to the store
+    mustardbank::Endpoint store_endpoint;
     std::map<std::string, std::string> addresses;
     mustardbank::Endpoint callers;
     mustardbank::Endpoint readiness;
--- a/review/stand_ins/process.cc
+++ b/review/stand_ins/process.cc
@@ -21,6 +21,8 @@
   posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // A channel that the case closes must not stay open in a child.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   // The case itself blocks no signals, but its threads may.
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
