--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -22,12 +23,12 @@
 constexpr std::uint32_t kLoopback = 0x7F000001;
 constexpr int kReadyMs = 20'000;
 
-std::string EmptyFile(const std::string& file) {
-  std::ofstream(file, std::ios::trunc);
-  return file;
+std::string NewFolder() {
+  const char* base = std::getenv("TMPDIR");
+  std::string pattern = std::string(base ? base : "/tmp") + "/review-XXXXXX";
+  return ::mkdtemp(pattern.data());
 }
 
-
 Endpoint EndpointAfter(const std::string& text, const std::string& name) {
   const std::size_t at = text.find(name + ' ');
   if (at == std::string::npos)
@@ -40,15 +41,14 @@
 }
 
 json::object Body(const JobOptions& job) {
-  json::object step{{"count", job.tasks},
-                    {"cpu", job.cpu},
-                    {"memMb", 64},
-                    {"estimateMs",
-                     job.estimate_ms > 0 ? job.estimate_ms : job.work_ms}};
+  json::object step{
+      {"count", job.tasks},
+      {"cpu", job.cpu},
+      {"memMb", 64},
+      {"estimateMs", job.estimate_ms > 0 ? job.estimate_ms : job.work_ms}};
   if (!job.requires_label.empty())
     step["requires"] = job.requires_label;
-  return {{"spec",
-           std::to_string(job.work_ms) + ' ' + std::to_string(job.cpu)},
+  return {{"spec", std::to_string(job.work_ms) + ' ' + std::to_string(job.cpu)},
           {"bestEffort", true},
           {"steps", json::array{std::move(step)}}};
 }
@@ -68,10 +68,10 @@
 }
 
 std::string Describe(const HttpResult<HttpResponse>& answer) {
-  return answer ? std::to_string(answer->status) + ' ' + answer->body
-                : "none (" +
-                      std::string(kHttpFailureNames[answer.error().failure]) +
-                      ')';
+  return answer
+             ? std::to_string(answer->status) + ' ' + answer->body
+             : "none (" +
+                   std::string(kHttpFailureNames[answer.error().failure]) + ')';
 }
 
 }  // namespace
@@ -86,11 +86,10 @@
 }
 
 Deployment::Deployment(const std::string& folder)
-    : record_(EmptyFile(folder + "/record.txt"), NowMs()) {
+    : record_file_(folder + "/record.txt"),
+      folder_(NewFolder()),
+      record_(folder_ + "/case.rec", NowMs()) {
   std::signal(SIGPIPE, SIG_IGN);
-  const char* base = std::getenv("TMPDIR");
-  std::string pattern = std::string(base ? base : "/tmp") + "/review-XXXXXX";
-  folder_ = ::mkdtemp(pattern.data());
   store_server_ = std::make_unique<HttpServer>(
       HttpServerLimits{},
       [this](HttpRequest&& request) { return store_.Serve(request); });
@@ -99,11 +98,6 @@
           .value();
 }
 
-Deployment::~Deployment() {
-  entries_.clear();
-  workers_.clear();
-}
-
 void Deployment::OnThread(const std::function<void()>& function) {
   RunInFiber(thread_, [&] {
     function();
@@ -111,6 +105,11 @@
   });
 }
 
+std::string Deployment::NewId(const std::string& name) const {
+  // The random end of the temporary folder's name.
+  return name + '-' + folder_.substr(folder_.size() - 6);
+}
+
 void Deployment::SpawnWorker(const WorkerOptions& worker) {
   workers_[worker.id] = std::make_unique<Process>(
       std::vector<std::string>{
@@ -118,12 +117,14 @@
           worker_addresses_.at(worker.id).ToString(), worker.zone,
           worker.labels, std::to_string(worker.cpu),
           std::to_string(worker.smaller_cpu), store_endpoint_.ToString(),
-          record_.file(), std::to_string(record_.base_ms())},
+          folder_ + '/' + worker.id + ".rec",
+          std::to_string(record_.base_ms())},
       folder_ + '/' + worker.id + ".log");
 }
 
 void Deployment::StartWorker(const WorkerOptions& worker) {
   worker_addresses_[worker.id] = {.ip = kLoopback, .port = 0};
+  record_.Merge(folder_ + '/' + worker.id + ".rec");
   SpawnWorker(worker);
   const std::int64_t end = NowMs() + kReadyMs;
   while (worker_addresses_[worker.id].port == 0 && NowMs() < end) {
@@ -151,31 +152,29 @@
 
 void Deployment::PutConfiguration() {
   OnThread([this] {
-    store_.Put(
-        "op", "config",
-        {{"version", 7},
-         {"routes",
-          json::array{json::object{{"name", "r-itineraire"},
-                                   {"host", "nony24.example"},
-                                   {"pathPrefix", "/lohu930/"},
-                                   {"type", "non_idempotent"},
-                                   {"timeoutMs", 1500},
-                                   {"targetLatencyMs", 60},
-                                   {"priority", 1},
-                                   {"service", "guide"},
-                                   {"attempts", 2},
-                                   {"stretch", 1.6}}}},
-         {"services", json::array{json::object{{"name", "guide"},
-                                               {"healthPath", "/health"},
-                                               {"maxConnections", 64},
-                                               {"protocol", "h1"},
-                                               {"tls", false},
-                                               {"admissionCheck", false},
-                                               {"standby", false}}}},
-         {"limits", json::object{{"maxHeaderBytes", 16384},
-                                 {"maxBodyBytes", 262144},
-                                 {"headerTimeoutMs", 3000},
-                                 {"idleTimeoutMs", 15000}}}});
+    store_.Put("op", "config",
+               {{"version", 7},
+                {"routes", json::array{json::object{{"name", "r-itineraire"},
+                                                    {"host", "nony24.example"},
+                                                    {"pathPrefix", "/lohu930/"},
+                                                    {"type", "non_idempotent"},
+                                                    {"timeoutMs", 1500},
+                                                    {"targetLatencyMs", 60},
+                                                    {"priority", 1},
+                                                    {"service", "guide"},
+                                                    {"attempts", 2},
+                                                    {"stretch", 1.6}}}},
+                {"services", json::array{json::object{{"name", "guide"},
+                                                      {"healthPath", "/health"},
+                                                      {"maxConnections", 64},
+                                                      {"protocol", "h1"},
+                                                      {"tls", false},
+                                                      {"admissionCheck", false},
+                                                      {"standby", false}}}},
+                {"limits", json::object{{"maxHeaderBytes", 16384},
+                                        {"maxBodyBytes", 262144},
+                                        {"headerTimeoutMs", 3000},
+                                        {"idleTimeoutMs", 15000}}}});
   });
 }
 
@@ -195,31 +194,29 @@
   }
   // As the template of the deploy file yields it, with free ports.
   const std::string file = folder_ + '/' + name + ".json";
-  std::ofstream(file) << json::serialize(json::object{
-      {"name", name},
-      {"data_center", zone},
-      {"callers", "127.0.0.1:0"},
-      {"readiness", "127.0.0.1:0"},
-      {"ip", "127.0.0.1"},
-      {"peer_port", 0},
-      {"metrics_port", 0},
-      {"store", entry.store_endpoint.ToString()},
-      {"processors", json::object{{"share", 0.25}, {"speed", 1}}},
-      {"memory_mb", 260},
-      {"longest_lease_ms", 1000},
-      {"stop_ms", 50},
-      {"grace_s", 6},
-      {"drain_ms", 2000},
-      {"worker_heartbeat_ms", 1500},
-      {"capacity_notice_ms", 3000},
-      {"configuration_ms", 2000}});
-  const std::string log = folder_ + '/' + name + '.' +
-                          std::to_string(++entry.starts) + ".log";
+  std::ofstream(file) << json::serialize(
+      json::object{{"name", name},
+                   {"data_center", zone},
+                   {"callers", "127.0.0.1:0"},
+                   {"readiness", "127.0.0.1:0"},
+                   {"ip", "127.0.0.1"},
+                   {"peer_port", 0},
+                   {"metrics_port", 0},
+                   {"store", entry.store_endpoint.ToString()},
+                   {"processors", json::object{{"share", 0.25}, {"speed", 1}}},
+                   {"memory_mb", 260},
+                   {"longest_lease_ms", 1000},
+                   {"stop_ms", 50},
+                   {"grace_s", 6},
+                   {"drain_ms", 2000},
+                   {"worker_heartbeat_ms", 1500},
+                   {"capacity_notice_ms", 3000},
+                   {"configuration_ms", 2000}});
+  const std::string log =
+      folder_ + '/' + name + '.' + std::to_string(++entry.starts) + ".log";
   entry.peers = {};
   entry.process = std::make_unique<Process>(
-      std::vector<std::string>{"target/mustardbank", "lease-entry",
-                               file},
-      log);
+      std::vector<std::string>{"target/mustardbank", "lease-entry", file}, log);
   const std::int64_t end = NowMs() + kReadyMs;
   while (entry.peers.port == 0 && NowMs() < end) {
     SleepMs(10);
@@ -244,7 +241,7 @@
   OnThread([&] { entries_.at(entry).addresses = std::move(addresses); });
 }
 
-int Deployment::Finish(bool is_broken, bool was_played) {
+void Deployment::Finish(bool is_broken, bool was_played) {
   bool is_complete = was_played;
   for (auto& [name, entry] : entries_) {
     if (!stopped_entries_.contains(name) && entry.process->HasEnded()) {
@@ -264,7 +261,16 @@
   record_.Write(!is_complete ? "the case could not run"
                 : is_broken  ? "rule broken"
                              : "rule held");
-  return static_cast<int>(outcome);
+  record_.Save(record_file_);
+  for (auto& [name, entry] : entries_)
+    entry.process->Kill();
+  for (auto& [id, worker] : workers_)
+    worker->Kill();
+  // The logs of a case that could not run tell why.
+  if (is_complete)
+    std::filesystem::remove_all(folder_);
+  // The thread of the stand-ins does not end: exit without its destructors.
+  std::_Exit(static_cast<int>(outcome));
 }
 
 bool Deployment::WaitUntilReady() {
@@ -273,11 +279,10 @@
     while (true) {
       bool is_ready = false;
       OnThread([&] {
-        const auto answer =
-            ExchangeOnce(thread_.io(), entry.readiness,
-                         HttpRequest{.method = "GET",
-                                     .target = "/mustardbank/readiness"},
-                         milliseconds(500));
+        const auto answer = ExchangeOnce(
+            thread_.io(), entry.readiness,
+            HttpRequest{.method = "GET", .target = "/mustardbank/readiness"},
+            milliseconds(500));
         is_ready = answer && answer->status == 200;
       });
       if (is_ready)
@@ -334,8 +339,8 @@
       const auto answer =
           connection.Exchange(PostOf(timed.id, timed.job),
                               milliseconds(timed.job.deadline_ms + 500));
-      record_.Write("client's answer for " + timed.id + " from " + name +
-                    ": " + Describe(answer));
+      record_.Write("client's answer for " + timed.id + " from " + name + ": " +
+                    Describe(answer));
       if (!answer)
         return;
     }
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -44,8 +44,9 @@
   // `folder`: of the case. The record goes to its file record.txt, all other
   // files to a temporary folder.
   explicit Deployment(const std::string& folder);
-  ~Deployment();
 
+  // The id of a worker appears nowhere else, not even in another run.
+  std::string NewId(const std::string& name) const;
   void StartWorker(const WorkerOptions& worker);
   void KillWorker(const std::string& id);
   // Starts a killed worker again under its id and address.
@@ -93,9 +94,9 @@
   void OnThread(const std::function<void()>& function);
   mustardbank::FiberThread& thread() { return thread_; }
   const Record& record() const { return record_; }
-  // Writes the result into the record and returns the exit code. A case also
-  // could not run if a process ended that should not.
-  int Finish(bool is_broken, bool was_played);
+  // Ends all processes, saves the record with the result and exits with its
+  // code. A case also could not run if a process ended that should not.
+  [[noreturn]] void Finish(bool is_broken, bool was_played);
 
  private:
   struct Entry {
@@ -111,7 +112,8 @@
 
   void SpawnWorker(const WorkerOptions& worker);
 
-  std::string folder_;  // temporary
+  const std::string record_file_;
+  const std::string folder_;  // temporary
   Record record_;
   mustardbank::FiberThread thread_;
   Store store_;
--- a/review/stand_ins/link_proxy.cc
+++ b/review/stand_ins/link_proxy.cc
@@ -102,9 +102,9 @@
       [this](boost::system::error_code error, std::size_t bytes) {
         boost::system::error_code ignored;
         if (!error && target_.port != 0)
-          datagrams_.send_to(
-              asio::buffer(datagram_.data(), bytes),
-              {asio::ip::address_v4(target_.ip), target_.port}, 0, ignored);
+          datagrams_.send_to(asio::buffer(datagram_.data(), bytes),
+                             {asio::ip::address_v4(target_.ip), target_.port},
+                             0, ignored);
         ReceiveDatagram();
       });
 }
--- a/review/stand_ins/process.cc
+++ b/review/stand_ins/process.cc
@@ -30,8 +30,8 @@
   sigemptyset(&none);
   posix_spawnattr_setsigmask(&attributes, &none);
   posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-  if (posix_spawn(&id_, argv[0], &actions, &attributes, argv.data(),
-                  environ) != 0)
+  if (posix_spawn(&id_, argv[0], &actions, &attributes, argv.data(), environ) !=
+      0)
     id_ = -1;
   posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
--- a/review/stand_ins/record.h
+++ b/review/stand_ins/record.h
@@ -1,8 +1,9 @@
-// The record of a case: what was sent, answered and run, one event a line.
-// Several processes append to the same file.
+// The record of a case: what was sent, answered and run, one event a line. Each
+// process writes a file of its own; the case merges them.
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,18 +15,22 @@
 class Record {
  public:
   // `base_ms`: the reading of NowMs at which the times of the record begin.
-  Record(std::string file, std::int64_t base_ms);
+  Record(const std::string& file, std::int64_t base_ms);
 
   void Write(const std::string& event) const;
-  // The lines so far, split at spaces. The first word is the time in ms.
+  // Reads a file of another process, too.
+  void Merge(const std::string& file) { files_.insert(file); }
+  // The lines so far of all files in the order of their times, split at spaces.
+  // The first word is the time in ms.
   std::vector<std::vector<std::string>> Lines() const;
+  // Writes all lines so far to a file.
+  void Save(const std::string& file) const;
 
-  const std::string& file() const { return file_; }
   std::int64_t base_ms() const { return base_ms_; }
   std::int64_t ElapsedMs() const { return NowMs() - base_ms_; }
 
  private:
-  std::string file_;
+  std::set<std::string> files_;
   std::int64_t base_ms_;
   int descriptor_;
 };
--- a/review/stand_ins/worker.cc
+++ b/review/stand_ins/worker.cc
@@ -93,13 +93,13 @@
         {"born", born_ms_},
         {"clockMs", Clock()},
         {"sequence", ++sequence_}};
-    const auto answer = ExchangeOnce(
-        thread_.io(), options_.store,
-        HttpRequest{.method = "POST",
-                    .target = "/stand-in/register",
-                    .body = json::serialize(json::object{
-                        {"id", options_.id}, {"entry", entry}})},
-        milliseconds(1000));
+    const auto answer =
+        ExchangeOnce(thread_.io(), options_.store,
+                     HttpRequest{.method = "POST",
+                                 .target = "/stand-in/register",
+                                 .body = json::serialize(json::object{
+                                     {"id", options_.id}, {"entry", entry}})},
+                     milliseconds(1000));
     return answer && answer->status == 200;
   }
 
@@ -167,14 +167,13 @@
 
   HttpResponse Reject(std::string_view reason) const {
     return {.status = 409,
-            .body = json::serialize(json::object{{"clockMs", Clock()},
-                                                 {"born", born_ms_},
-                                                 {"reason", reason}})};
+            .body = json::serialize(json::object{
+                {"clockMs", Clock()}, {"born", born_ms_}, {"reason", reason}})};
   }
 
   void ExtendLease(std::int64_t deadline) {
-    lease_until_ = std::max(lease_until_,
-                            std::min(deadline, Clock() + kLongestLeaseMs));
+    lease_until_ =
+        std::max(lease_until_, std::min(deadline, Clock() + kLongestLeaseMs));
   }
 
   HttpResponse Start(const json::object& body) {
@@ -233,9 +232,9 @@
     EndDue();
     json::array running;
     for (const auto& [task, run] : running_) {
-      const std::int64_t percent =
-          std::min<std::int64_t>(99, 100 * (NowMs() - run.started) /
-                                         std::max<std::int64_t>(1, run.work_ms));
+      const std::int64_t percent = std::min<std::int64_t>(
+          99, 100 * (NowMs() - run.started) /
+                  std::max<std::int64_t>(1, run.work_ms));
       running.push_back(json::array{task, run.run, "", percent, run.cpu});
     }
     json::array ended;
