--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -150,31 +150,33 @@
   workers_.at(id)->Signal(SIGUSR1);
 }
 
-void Deployment::PutConfiguration() {
-  OnThread([this] {
-    store_.Put("op", "config",
-               {{"version", 7},
-                {"routes", json::array{json::object{{"name", "r-itineraire"},
-                                                    {"host", "nony24.example"},
-                                                    {"pathPrefix", "/lohu930/"},
-                                                    {"type", "non_idempotent"},
-                                                    {"timeoutMs", 1500},
-                                                    {"targetLatencyMs", 60},
-                                                    {"priority", 1},
-                                                    {"service", "guide"},
-                                                    {"attempts", 2},
-                                                    {"stretch", 1.6}}}},
-                {"services", json::array{json::object{{"name", "guide"},
-                                                      {"healthPath", "/health"},
-                                                      {"maxConnections", 64},
-                                                      {"protocol", "h1"},
-                                                      {"tls", false},
-                                                      {"admissionCheck", false},
-                                                      {"standby", false}}}},
-                {"limits", json::object{{"maxHeaderBytes", 16384},
-                                        {"maxBodyBytes", 262144},
-                                        {"headerTimeoutMs", 3000},
-                                        {"idleTimeoutMs", 15000}}}});
+void Deployment::PutConfiguration(int version, bool has_route) {
+  OnThread([&] {
+    store_.Put(
+        "op", "config",
+        {{"version", version},
+         {"routes", json::array{json::object{
+                        {"name", "r-itineraire"},
+                        {"host", "nony24.example"},
+                        {"pathPrefix", has_route ? "/lohu930/" : "/pufi791/"},
+                        {"type", "non_idempotent"},
+                        {"timeoutMs", 1500},
+                        {"targetLatencyMs", 60},
+                        {"priority", 1},
+                        {"service", "guide"},
+                        {"attempts", 2},
+                        {"stretch", 1.6}}}},
+         {"services", json::array{json::object{{"name", "guide"},
+                                               {"healthPath", "/health"},
+                                               {"maxConnections", 64},
+                                               {"protocol", "h1"},
+                                               {"tls", false},
+                                               {"admissionCheck", false},
+                                               {"standby", false}}}},
+         {"limits", json::object{{"maxHeaderBytes", 16384},
+                                 {"maxBodyBytes", 262144},
+                                 {"headerTimeoutMs", 3000},
+                                 {"idleTimeoutMs", 15000}}}});
   });
 }
 
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -66,8 +66,9 @@
   void Reroute(const std::string& entry,
                std::map<std::string, std::string> addresses);
   bool WaitUntilReady();
-  // Writes the first configuration. Call before the entries start.
-  void PutConfiguration();
+  // Writes a configuration with one route: that of the jobs, or another one.
+  // The first one precedes the entries.
+  void PutConfiguration(int version = 7, bool has_route = true);
 
   // Sends a job in the background. `leaves_after_ms`: the client closes its
   // channel after this time; 0: it waits for its deadline.
