--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/mustardbank ] && [ -x target/review-2/cases ] || exit 2
-exec target/review-2/cases other-kind review/7
+exec target/review-2/cases cancel-elsewhere review/7
