LibLease: Refuse jobs that were held up on their way to an owner

What callers saw: a job that was passed on to a data centre as it was cut off got 502, was submitted again 1.3 s later and ran elsewhere.

Cause: a forwarded job carries its age at the time of sending. The owner took a request that TCP had held up for 3 s for a new one.

Change: VMs stamp heartbeats and answers with their clocks; a home returns the newest stamp of the owner with each job, so that the owner bounds the age of the request by its own clock. Beyond 0.4 s the request is refused, and its home sends it again with the stamp of the refusal if its caller still waits. Heartbeats count as heard from their sending, so that the jobs of a home that ended while the owner was paused are stopped. Earlier builds send no stamp and are served as before.

Why it works: 0.4 s, the 0.7 s after which jobs of a silent home are stopped and the time of a stop end before a caller submits again.

LeaseProcess job_request_that_was_held_up_is_not_started fails without the check: cause none where stale_request is expected.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -58,11 +58,12 @@
   kTaskBlamed,
   kAnswered,
   kRequestMalformed,
+  kRequestStale,
   kUnexpectedError,
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 45> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 46> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -106,6 +107,7 @@
      "task_blamed",
      "answered",
      "request_malformed",
+     "request_stale",
      "unexpected_error",
      "lines_dropped"}};
 
--- a/Libraries/LibLease/ownership.h
+++ b/Libraries/LibLease/ownership.h
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "LibCore/event_log.h"
+#include "LibLease/clock_stamp.h"
 #include "LibLease/heartbeat_schedule.h"
 #include "LibLease/shard.h"
 
@@ -46,6 +47,11 @@
   // heartbeat for this long are cancelled. Callers submit a job again 1,300 ms
   // after their connection broke; its earlier runs should be stopped by then.
   Duration home_timeout = std::chrono::milliseconds(700);
+  // An owner does not start a job whose request may have been sent longer ago:
+  // its home may have given it up, and its caller may submit it again. With the
+  // home's timeout and the time to stop a run, this stays within those 1,300
+  // ms. Two missed heartbeats in a row are within it.
+  Duration longest_request_age = std::chrono::milliseconds(400);
   // Claim delay for each candidate that ranks before this VM.
   Duration claim_step = std::chrono::milliseconds(300);
   // The first claim of a shard waits for heartbeats, so that only one candidate
@@ -100,6 +106,14 @@
   void DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now);
   // An answer of a peer carried its present load.
   void DidReceiveLoad(const std::string& peer, const OwnerLoad& load);
+  // A message of a peer carried a stamp of its clock.
+  void DidReceiveStamp(const std::string& peer, const ClockStamp& stamp);
+  // The newest stamp of the peer that was received, to be returned to it. Empty
+  // if its build sends none.
+  std::optional<ClockStamp> NewestStampOf(const std::string& peer) const;
+  ClockStamp MakeStamp(Time now) const {
+    return {.incarnation = self_.incarnation, .at = now};
+  }
   // Nothing is claimed while the store is unreachable. The time without
   // heartbeats of an owner counts from the return of the store at the earliest:
   // a network partition may have separated this VM from the owner, too.
@@ -177,6 +191,11 @@
     MemberRecord record;
     Heartbeat last_heartbeat;
     Time last_heartbeat_at;  // Time::min() before the first heartbeat
+    // When the last heartbeat was sent, by this VM's clock. It may have waited
+    // in a socket since.
+    Time last_sent_at = Time::min();
+    RemoteClock clock;
+    std::optional<ClockStamp> newest_stamp;
     Time reachable_since;
     bool was_lost = false;
     bool is_recorded = false;  // in the store; others introduced themselves
--- a/Libraries/LibLease/ownership_peers.cc
+++ b/Libraries/LibLease/ownership_peers.cc
@@ -38,6 +38,8 @@
   peer.is_recorded = true;
   if (is_new || peer.record.incarnation < member.incarnation) {
     peer.last_heartbeat_at = Time::min();
+    peer.last_sent_at = Time::min();
+    peer.clock.Reset();
     peer.last_heartbeat = {};
     peer.reachable_since = now;
   } else if (peer.record.incarnation > member.incarnation) {
@@ -108,6 +110,19 @@
     it->second.last_heartbeat.load = load;
 }
 
+void Ownership::DidReceiveStamp(const std::string& name,
+                                const ClockStamp& stamp) {
+  if (const auto it = peers_.find(name); it != peers_.end())
+    it->second.newest_stamp =
+        std::max(it->second.newest_stamp, std::optional(stamp));
+}
+
+std::optional<ClockStamp> Ownership::NewestStampOf(
+    const std::string& name) const {
+  const auto it = peers_.find(name);
+  return it == peers_.end() ? std::nullopt : it->second.newest_stamp;
+}
+
 std::size_t Ownership::VmsIn(const std::string& data_center) const {
   const auto it = peer_counts_.find(data_center);
   return (it == peer_counts_.end() ? 0 : it->second) +
@@ -161,6 +176,19 @@
   // A late datagram of an earlier incarnation.
   if (heartbeat.incarnation < peer.record.incarnation)
     return;
+  if (heartbeat.incarnation > peer.record.incarnation)
+    peer.clock.Reset();
+  Time sent_at = now;
+  if (heartbeat.sent_at) {
+    const Duration reading = heartbeat.sent_at->time_since_epoch();
+    // A newer one has arrived before it.
+    if (peer.clock.IsOvertaken(reading))
+      return;
+    sent_at = peer.clock.SentAt(reading, now);
+    DidReceiveStamp(heartbeat.name, {.incarnation = heartbeat.incarnation,
+                                     .at = *heartbeat.sent_at});
+  }
+  peer.last_sent_at = std::max(peer.last_sent_at, sent_at);
   if (!IsAlive(peer, now))
     peer.reachable_since = now;
   if (peer.was_lost) {
@@ -271,7 +299,8 @@
                       .load = load,
                       .store_version = store_version_,
                       .silent_owners = SilentOwners(now),
-                      .has_store = has_store_};
+                      .has_store = has_store_,
+                      .sent_at = now};
   for (const auto& [id, owned] : owned_) {
     heartbeat.shards.push_back({.shard = id,
                                 .version = owned.version,
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -83,6 +83,8 @@
   std::optional<Introduction> introduction;
   // Crashes that the sender found and that did not come back from the store.
   std::vector<CrashRecord> crashes;
+  // By the sender's clock. Earlier builds send none.
+  std::optional<Time> sent_at;
 
   static constexpr std::size_t kMostCrashes = 12;
 };
--- a/Libraries/LibLeaseEntry/job_service.cc
+++ b/Libraries/LibLeaseEntry/job_service.cc
@@ -16,6 +16,9 @@
 // If an owner refuses a job, the home tries the next one. Each try costs the
 // caller a round trip.
 constexpr int kMaxOwnersTried = 3;
+// An owner that can't tell how old a request is returns its clock, and the home
+// sends the request again with it.
+constexpr int kMaxSendsToOwner = 2;
 // The owner ends the job at its deadline; the answer then has to reach the
 // home.
 constexpr Duration kPeerAnswerSlack = std::chrono::milliseconds(60);
@@ -258,6 +261,18 @@
 JobResult JobService::RunOnPeer(const std::string& owner,
                                 const JobRequest& job,
                                 HomeJob& home) {
+  JobResult result = Refusal(JobCause::kCancelled);
+  for (int i = 0; i < kMaxSendsToOwner && !home.is_cancelled; ++i) {
+    result = SendToPeer(owner, job, home);
+    if (result.cause != JobCause::kStaleRequest)
+      break;
+  }
+  return result;
+}
+
+JobResult JobService::SendToPeer(const std::string& owner,
+                                 const JobRequest& job,
+                                 HomeJob& home) {
   const auto peer = control_.ownership().peers().find(owner);
   if (peer == control_.ownership().peers().end())
     return Refusal(JobCause::kNoOwner);
@@ -276,15 +291,19 @@
   const HttpResult<HttpResponse> response =
       (*connection)
           ->Exchange(
-              HttpRequest{.method = "POST",
-                          .target = std::string(kPeerJobs),
-                          .headers = {{"Content-Type", std::string(kJsonType)}},
-                          .body = EncodeJobRequest(job, now)},
+              HttpRequest{
+                  .method = "POST",
+                  .target = std::string(kPeerJobs),
+                  .headers = {{"Content-Type", std::string(kJsonType)}},
+                  .body = EncodeJobRequest(
+                      {job, control_.ownership().NewestStampOf(owner)}, now)},
               std::chrono::ceil<std::chrono::milliseconds>(timeout));
   home.connection = nullptr;
   if (response) {
     peers_.Release(endpoint, std::move(*connection));
     if (const auto answer = DecodeJobAnswer(response->body)) {
+      if (answer->stamp)
+        control_.ownership().DidReceiveStamp(owner, *answer->stamp);
       if (answer->load) {
         control_.ownership().DidReceiveLoad(owner, *answer->load);
         control_.router().DidReport(owner);
@@ -369,10 +388,10 @@
     control_.Pump(now);
     return HttpResponse{};
   }
-  auto job = request.method == "POST" && request.target == kPeerJobs
-                 ? DecodeJobRequest(request.body, now)
-                 : std::nullopt;
-  if (!job) {
+  auto forwarded = request.method == "POST" && request.target == kPeerJobs
+                       ? DecodeJobRequest(request.body, now)
+                       : std::nullopt;
+  if (!forwarded) {
     control_.log()
         .Write(LogEvent::kRequestMalformed, now)
         .Add(LogField::kReason, "malformed job from a peer");
@@ -381,19 +400,35 @@
   // The home has given up the job, and the caller may have sent it to another
   // VM.
   if (caller.is_disconnected())
-    return {.body = EncodeJobAnswer({Refusal(JobCause::kCancelled), {}})};
-  if (!CanEndBefore(*job, exit_, now))
-    return {.body = EncodeJobAnswer({Refusal(JobCause::kLeaving), {}})};
-  caller.OnDisconnect([this, id = job->id, home = job->home] {
+    return AnswerPeer({.result = Refusal(JobCause::kCancelled)}, now);
+  JobRequest& job = forwarded->job;
+  if (!control_.MayStartRequest(forwarded->echo, now)) {
+    ++counters_.stale_requests;
+    control_.log()
+        .Write(LogEvent::kRequestStale, now)
+        .Add(LogField::kJob, job.id)
+        .Add(LogField::kHome, job.home)
+        .Add(LogField::kAgeMs, now - forwarded->echo->at);
+    return AnswerPeer({.result = Refusal(JobCause::kStaleRequest)}, now);
+  }
+  if (!CanEndBefore(job, exit_, now))
+    return AnswerPeer({.result = Refusal(JobCause::kLeaving)}, now);
+  caller.OnDisconnect([this, id = job.id, home = job.home] {
     if (!local_jobs_.contains(LocalJobKey(home, id)))
       return;
     const Time disconnected_at = BootClock::now();
     control_.dispatcher().Cancel(id, JobCause::kCancelled, disconnected_at);
     control_.Pump(disconnected_at);
   });
-  const JobResult result = RunLocally(std::move(*job));
-  return {.body = EncodeJobAnswer(
-              {result, control_.dispatcher().Load(BootClock::now())})};
+  const JobResult result = RunLocally(std::move(job));
+  const Time ended = BootClock::now();
+  return AnswerPeer(
+      {.result = result, .load = control_.dispatcher().Load(ended)}, ended);
+}
+
+HttpResponse JobService::AnswerPeer(JobAnswer answer, Time now) const {
+  answer.stamp = control_.ownership().MakeStamp(now);
+  return {.body = EncodeJobAnswer(answer)};
 }
 
 void JobService::Tick(Time now) {
--- a/Libraries/LibLeaseEntry/job_service.h
+++ b/Libraries/LibLeaseEntry/job_service.h
@@ -13,6 +13,7 @@
 #include "LibHttp/http_server.h"
 #include "LibLease/duration_histogram.h"
 #include "LibLeaseEntry/lease_control.h"
+#include "LibLeaseEntry/peer_codec.h"
 
 namespace mustardbank {
 
@@ -20,6 +21,7 @@
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
   std::uint64_t forwards = 0;
+  std::uint64_t stale_requests = 0;           // of other homes, refused
   std::map<unsigned, std::uint64_t> answers;  // by HTTP status
   DurationHistogram request_time;
 };
@@ -82,6 +84,10 @@
   JobResult RunOnPeer(const std::string& owner,
                       const JobRequest& job,
                       HomeJob& home);
+  JobResult SendToPeer(const std::string& owner,
+                       const JobRequest& job,
+                       HomeJob& home);
+  HttpResponse AnswerPeer(JobAnswer answer, Time now) const;
   void CancelHomeJob(const std::string& id, HomeJob& home);
   bool CancelAtOwners(const std::string& id);
   HttpResponse Answer(const std::string& id,
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -329,6 +329,12 @@
   HoldStartsWhileStale(now);
 }
 
+bool LeaseControl::MayStartRequest(const std::optional<ClockStamp>& echo,
+                                   Time now) const {
+  const std::optional<Duration> age = GreatestAge(echo, self_.incarnation, now);
+  return !age || *age <= ownership_timing_.longest_request_age;
+}
+
 void LeaseControl::Submit(JobRequest job, Time now) {
   DetectPause(now);
   last_job_from_home_[job.home] = now;
@@ -374,7 +380,7 @@
     Time last_contact = last_job_from_home_[home];
     const auto it = ownership_.peers().find(home);
     if (it != ownership_.peers().end())
-      last_contact = std::max(last_contact, it->second.last_heartbeat_at);
+      last_contact = std::max(last_contact, it->second.last_sent_at);
     if (now - last_contact > ownership_timing_.home_timeout)
       dispatcher_.CancelJobsOf(home, now);
   }
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -88,6 +88,9 @@
 
   void DidReceiveHeartbeat(const Heartbeat& heartbeat, Time now);
   Heartbeat MakeHeartbeat(Duration interval, Time now) const;
+  // Whether a job request with this echo of a stamp of this VM was certainly
+  // sent a short time ago. Earlier builds send no echo, and are trusted.
+  bool MayStartRequest(const std::optional<ClockStamp>& echo, Time now) const;
   void Submit(JobRequest job, Time now);
   void Tick(Time now);
   void Leave(Time now);
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -203,6 +203,9 @@
                jobs.counters().malformed);
   writer.Count("forwards", "Jobs sent to owners on other VMs",
                jobs.counters().forwards);
+  writer.Count("stale_requests",
+               "Jobs of other VMs that may have been sent too long ago",
+               jobs.counters().stale_requests);
   for (const auto& [status, count] : jobs.counters().answers)
     writer.Count("answers", "Answers to callers", count,
                  {{"status", std::to_string(status)}});
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -56,6 +56,30 @@
       .count();
 }
 
+std::int64_t ToMicroseconds(Time time) {
+  return ToMicroseconds(time.time_since_epoch());
+}
+
+// A time of the clock of a VM.
+Time ClockTimeIn(const json::object& object, std::string_view key) {
+  return Time(SpanIn(object, key, {}, std::chrono::milliseconds(kMostClockMs)));
+}
+
+json::object ToJson(const ClockStamp& stamp) {
+  return {{"incarnation", stamp.incarnation},
+          {"clock_us", ToMicroseconds(stamp.at)}};
+}
+
+// Empty if the sender's build sends none.
+std::optional<ClockStamp> StampIn(const json::object& object,
+                                  std::string_view key) {
+  if (!object.contains(key))
+    return std::nullopt;
+  const json::object& stamp = object.at(key).as_object();
+  return ClockStamp{.incarnation = Integer<std::uint64_t>(stamp, "incarnation"),
+                    .at = ClockTimeIn(stamp, "clock_us")};
+}
+
 void AddLoad(const OwnerLoad& load, json::object& object) {
   object["free"] = load.free_millicores;
   object["capacity"] = load.capacity_millicores;
@@ -289,6 +313,8 @@
     object["evacuations"] = ToJson(heartbeat.evacuations);
   if (!heartbeat.crashes.empty())
     object["crashes"] = ToJson(heartbeat.crashes);
+  if (heartbeat.sent_at)
+    object["clock_us"] = ToMicroseconds(*heartbeat.sent_at);
   AddLoad(heartbeat.load, object);
   return json::serialize(object);
 }
@@ -321,32 +347,38 @@
           ToEvacuations(object.at("evacuations").as_array());
     if (object.contains("crashes"))
       heartbeat.crashes = ToCrashes(object.at("crashes").as_array());
+    if (object.contains("clock_us"))
+      heartbeat.sent_at = ClockTimeIn(object, "clock_us");
     return heartbeat;
   });
 }
 
-std::string EncodeJobRequest(const JobRequest& job, Time now) {
+std::string EncodeJobRequest(const ForwardedJob& forwarded, Time now) {
+  const JobRequest& job = forwarded.job;
   json::array groups;
   for (const TaskGroup& group : job.groups)
     groups.push_back(ToJson(group));
-  return json::serialize(
-      json::object{{"id", job.id},
-                   {"home", job.home},
-                   {"payload", job.payload},
-                   {"groups", std::move(groups)},
-                   {"queue", job.policy.name},
-                   {"service", job.policy.service},
-                   {"priority", job.policy.priority},
-                   {"attempts", job.policy.attempts},
-                   {"stretch", job.policy.stretch},
-                   {"target_us", ToMicroseconds(job.policy.target_latency)},
-                   {"age_us", ToMicroseconds(now - job.arrived)},
-                   {"left_us", ToMicroseconds(job.deadline - now)}});
-}
-
-std::optional<JobRequest> DecodeJobRequest(std::string_view text, Time now) {
-  return Decode<JobRequest>(text, [now](const json::object& object) {
-    JobRequest job;
+  json::object object{{"id", job.id},
+                      {"home", job.home},
+                      {"payload", job.payload},
+                      {"groups", std::move(groups)},
+                      {"queue", job.policy.name},
+                      {"service", job.policy.service},
+                      {"priority", job.policy.priority},
+                      {"attempts", job.policy.attempts},
+                      {"stretch", job.policy.stretch},
+                      {"target_us", ToMicroseconds(job.policy.target_latency)},
+                      {"age_us", ToMicroseconds(now - job.arrived)},
+                      {"left_us", ToMicroseconds(job.deadline - now)}};
+  if (forwarded.echo)
+    object["echo"] = ToJson(*forwarded.echo);
+  return json::serialize(object);
+}
+
+std::optional<ForwardedJob> DecodeJobRequest(std::string_view text, Time now) {
+  return Decode<ForwardedJob>(text, [now](const json::object& object) {
+    ForwardedJob forwarded;
+    JobRequest& job = forwarded.job;
     job.id = IdIn(object, "id");
     job.payload = Text(object, "payload");
     job.policy.name = Text(object, "queue");
@@ -367,7 +399,8 @@
       tasks += job.groups.back().count;
     }
     Require(tasks > 0 && tasks <= kMostTasks);
-    return job;
+    forwarded.echo = StampIn(object, "echo");
+    return forwarded;
   });
 }
 
@@ -381,6 +414,8 @@
     object["evacuated"] = true;
   if (answer.load)
     AddLoad(*answer.load, object);
+  if (answer.stamp)
+    object["stamp"] = ToJson(*answer.stamp);
   return json::serialize(object);
 }
 
@@ -397,6 +432,7 @@
       answer.result.cause = JobCause::kEvacuated;
     if (object.contains("free"))
       answer.load = ToLoad(object);
+    answer.stamp = StampIn(object, "stamp");
     return answer;
   });
 }
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -14,14 +14,23 @@
 std::string EncodeHeartbeat(const Heartbeat& heartbeat);
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view text);
 
+// A job that its home sends to an owner.
+struct ForwardedJob {
+  JobRequest job;
+  // The newest stamp of the owner that the home has. Earlier builds send none.
+  std::optional<ClockStamp> echo{};
+};
+
 // Times are sent relative to `now`, since the clocks of VMs differ.
-std::string EncodeJobRequest(const JobRequest& job, Time now);
-std::optional<JobRequest> DecodeJobRequest(std::string_view text, Time now);
+std::string EncodeJobRequest(const ForwardedJob& forwarded, Time now);
+std::optional<ForwardedJob> DecodeJobRequest(std::string_view text, Time now);
 
 // An owner's answer to the home of a job.
 struct JobAnswer {
   JobResult result;
   std::optional<OwnerLoad> load;  // after the job; earlier builds send none
+  // Of the owner, when it answered. Earlier builds send none.
+  std::optional<ClockStamp> stamp{};
 };
 
 std::string EncodeJobAnswer(const JobAnswer& answer);
--- a/Libraries/LibSchedule/job.h
+++ b/Libraries/LibSchedule/job.h
@@ -92,9 +92,10 @@
   kOverShare,       // a burst of its queue must leave other queues their shares
   kCrashesWorkers,  // workers crashed under one of its tasks
   kCrashLimit,      // tasks of its queue have crashed too many workers
+  kStaleRequest,    // the request may have been sent too long ago
 };
 
-inline constexpr EnumNames<JobCause, 22> kJobCauseNames{
+inline constexpr EnumNames<JobCause, 23> kJobCauseNames{
     {"none",         "task_failed",      "runs_lost",
      "no_room",      "waited_too_long",  "never_fits",
      "not_owner",    "handed_over",      "deadline",
@@ -102,7 +103,7 @@
      "unsupported",  "no_configuration", "no_queue",
      "owner_silent", "no_owner",         "leaving",
      "evacuated",    "over_share",       "crashes_workers",
-     "crash_limit"}};
+     "crash_limit",  "stale_request"}};
 
 struct JobResult {
   JobOutcome outcome = JobOutcome::kRefused;
--- a/Tests/Harness/lease_deployment.cc
+++ b/Tests/Harness/lease_deployment.cc
@@ -38,6 +38,14 @@
   });
 }
 
+CallerAnswer ToAnswer(const HttpResult<HttpResponse>& response) {
+  if (!response)
+    return {};
+  return {.status = response->status,
+          .body = response->body,
+          .retry_after = std::string(response->header("Retry-After"))};
+}
+
 // Returns the endpoint that follows `name` in the log line that an entry writes
 // when it has started.
 Endpoint EndpointAfter(const std::string& line, const std::string& name) {
@@ -61,6 +69,7 @@
       callers_(options_.entries),
       readiness_(options_.entries),
       metrics_(options_.entries),
+      peers_(options_.entries),
       store_routes_(options_.entries) {
   char folder[] = "/tmp/mustardbank-lease-XXXXXX";
   folder_ = ::mkdtemp(folder);
@@ -111,6 +120,7 @@
     callers_[index] = EndpointAfter(line, "callers");
   readiness_[index] = EndpointAfter(line, "readiness");
   metrics_[index] = EndpointAfter(line, "metrics");
+  peers_[index] = EndpointAfter(line, "peers");
 }
 
 bool LeaseDeployment::WaitUntilReady(milliseconds timeout) {
@@ -132,12 +142,13 @@
 CallerAnswer LeaseDeployment::Call(int entry,
                                    const HttpRequest& request,
                                    milliseconds max_wait) const {
-  const auto response = Exchange(callers_[entry], request, max_wait);
-  if (!response)
-    return {};
-  return {.status = response->status,
-          .body = response->body,
-          .retry_after = std::string(response->header("Retry-After"))};
+  return ToAnswer(Exchange(callers_[entry], request, max_wait));
+}
+
+CallerAnswer LeaseDeployment::CallAsPeer(int entry,
+                                         const HttpRequest& request,
+                                         milliseconds max_wait) const {
+  return ToAnswer(Exchange(peers_[entry], request, max_wait));
 }
 
 CallerAnswer LeaseDeployment::Submit(int entry,
--- a/Tests/Harness/lease_deployment.h
+++ b/Tests/Harness/lease_deployment.h
@@ -54,6 +54,10 @@
   CallerAnswer Call(int entry,
                     const HttpRequest& request,
                     std::chrono::milliseconds max_wait) const;
+  // Sends a request as another entry VM.
+  CallerAnswer CallAsPeer(int entry,
+                          const HttpRequest& request,
+                          std::chrono::milliseconds max_wait) const;
   // Returns the text of the metrics endpoint.
   std::string Scrape(int entry) const;
   // Sends `change` to the /admin endpoint of the stand-in.
@@ -90,6 +94,7 @@
   std::vector<Endpoint> callers_;
   std::vector<Endpoint> readiness_;
   std::vector<Endpoint> metrics_;
+  std::vector<Endpoint> peers_;
   std::vector<Endpoint> store_routes_;
 };
 
--- a/Tests/LibLease/ownership_test.cc
+++ b/Tests/LibLease/ownership_test.cc
@@ -36,6 +36,15 @@
     }
   }
 
+  void ReceiveStamped(milliseconds clock, std::uint64_t configuration_version) {
+    ownership.DidReceiveHeartbeat(
+        {.name = "peer",
+         .incarnation = 3,
+         .configuration_version = configuration_version,
+         .sent_at = Time(clock)},
+        now);
+  }
+
   void ReceiveOwnerHeartbeat(bool is_released,
                              const std::vector<std::string>& busy) {
     ownership.DidReceiveHeartbeat({.name = "peer",
@@ -435,4 +444,39 @@
   CHECK_EQUAL(1, ownership.TakeClaims().size());
 }
 
+// Guards against a home that counts as heard, and keeps its jobs, by heartbeats
+// that waited in a socket since it ended.
+TEST(Ownership, heartbeats_count_from_their_sending) {
+  ownership.DidReadMember(MakeMember("peer", 3), now);
+  ReceiveStamped(milliseconds(1000), 1);
+  now += milliseconds(3000);
+  ReceiveStamped(milliseconds(1150), 2);
+  const Ownership::Peer& peer = ownership.peers().at("peer");
+  CHECK(now - peer.last_sent_at > milliseconds(2800));
+  // One that was overtaken says nothing new.
+  ReceiveStamped(milliseconds(1100), 1);
+  CHECK_EQUAL(2, peer.last_heartbeat.configuration_version);
+  // The newest stamp is returned.
+  CHECK(ownership.NewestStampOf("peer") ==
+        ClockStamp({3, Time(milliseconds(1150))}));
+  ownership.DidReceiveStamp("peer", {3, Time(milliseconds(1400))});
+  ownership.DidReceiveStamp("peer", {3, Time(milliseconds(1300))});
+  CHECK(ownership.NewestStampOf("peer")->at == Time(milliseconds(1400)));
+  // A restarted process has a clock of its own.
+  ownership.DidReceiveHeartbeat(
+      {.name = "peer", .incarnation = 4, .sent_at = Time(milliseconds(5))},
+      now);
+  CHECK(peer.last_sent_at == now);
+  CHECK_EQUAL(4U, ownership.NewestStampOf("peer")->incarnation);
+}
+
+// Earlier builds send no stamps.
+TEST(Ownership, heartbeat_without_a_stamp_counts_from_its_arrival) {
+  ownership.DidReadMember(MakeMember("peer", 3), now);
+  now += milliseconds(3000);
+  ownership.DidReceiveHeartbeat({.name = "peer", .incarnation = 3}, now);
+  CHECK(ownership.peers().at("peer").last_sent_at == now);
+  CHECK(!ownership.NewestStampOf("peer"));
+}
+
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -2,6 +2,7 @@
 // platform.
 #include <CppUTest/TestHarness.h>
 
+#include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -64,6 +65,57 @@
   }
 }
 
+// Guards against a job that runs twice: its request was held up by a partition,
+// and its caller has submitted it elsewhere.
+TEST(LeaseProcess, job_request_that_was_held_up_is_not_started) {
+  namespace json = boost::json;
+  const auto send = [this](int id, const json::value& echo) {
+    json::object request{
+        {"id", IdOf(id)},
+        {"home", "entry9"},
+        {"payload", "1000 50"},
+        {"groups", json::array{json::object{{"count", 1},
+                                            {"millicores", 1000},
+                                            {"memory_mb", 16},
+                                            {"accelerators", 0},
+                                            {"declared_us", 50'000}}}},
+        {"queue", "tiles"},
+        {"service", "guide"},
+        {"priority", 0},
+        {"attempts", 1},
+        {"stretch", 1.6},
+        {"target_us", 60'000},
+        {"age_us", 0},
+        {"left_us", 500'000}};
+    if (!echo.is_null())
+      request["echo"] = echo;
+    const CallerAnswer answer = deployment.CallAsPeer(
+        1, Post("/v1/leased-jobs", json::serialize(request)), kCallerTimeout);
+    return json::parse(answer.body).as_object();
+  };
+  // Earlier builds return no stamp and are served.
+  const json::object served = send(1, nullptr);
+  CHECK_EQUAL(1, deployment.StartsOf(IdOf(1)));
+
+  json::object echo = served.at("stamp").as_object();
+  const std::int64_t clock_us = echo.at("clock_us").as_int64();
+  echo["clock_us"] = clock_us - 2'900'000;
+  json::object refused = send(2, echo);
+  CHECK_EQUAL(std::string("stale_request"),
+              std::string(refused.at("cause").as_string()));
+  // Sent to an earlier process of the VM.
+  echo["incarnation"] = 1;
+  echo["clock_us"] = clock_us;
+  CHECK_EQUAL(std::string("stale_request"),
+              std::string(send(3, echo).at("cause").as_string()));
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(2)) + deployment.StartsOf(IdOf(3)));
+  // The home sends it again with the clock of the refusal.
+  const json::object again = send(2, refused.at("stamp"));
+  CHECK_EQUAL(std::string("succeeded"),
+              std::string(again.at("outcome").as_string()));
+  CHECK_EQUAL(1, deployment.StartsOf(IdOf(2)));
+}
+
 TEST(LeaseProcess, task_that_fails_is_tried_as_often_as_allowed) {
   const CallerAnswer answer =
       deployment.Submit(0, IdOf(1), 1, 20'000, 20, kCallerTimeout, "fail");
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -207,10 +207,13 @@
 
 TEST(MutatedMessages, jobs_of_peers) {
   ForMutations(
-      EncodeJobRequest(MakeJob(now), now), 2, [&](const std::string& message) {
-        auto job = DecodeJobRequest(message, now);
-        if (!job)
+      EncodeJobRequest({.job = MakeJob(now), .echo = ClockStamp{5, now}}, now),
+      2, [&](const std::string& message) {
+        auto forwarded = DecodeJobRequest(message, now);
+        if (!forwarded)
           return true;
+        control.MayStartRequest(forwarded->echo, now);
+        JobRequest* job = &forwarded->job;
         const bool is_sane =
             IsSane(job->groups) && IsSane(job->policy) && !job->id.empty() &&
             job->id.find('.') == std::string::npos &&
