LibConfig: Read bounds as durations, and start without one that can't be read

Cause: LeaseSettings::Read read all bounds with OptionalInteger, and a value that it could not read ended the process like a typing error of an operator.

Evidence: the message names the field, "grace_s: expected an integer from 1 to 3600".

Change: one table of bounds and one reader for durations, which keeps fractions, limits values to their range, replaces others by the default and says so (setting_replaced). Whole numbers may be spelled 2000.0 or 2e3. A reload puts changed bounds into force.

Why it works: no value of a bound ends the process any more, and the rest of the settings is checked as before.

--- a/Libraries/LibConfig/json_reader.cc
+++ b/Libraries/LibConfig/json_reader.cc
@@ -1,5 +1,7 @@
 #include "LibConfig/json_reader.h"
 
+#include <algorithm>
+#include <cmath>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -8,6 +10,23 @@
 
 namespace mustardbank {
 
+namespace {
+
+// 2^53: up to it, a double holds every whole number exactly.
+constexpr double kMaxExactInteger = 9007199254740992.0;
+
+std::optional<std::uint64_t> ToWholeNumber(const json::value& value) {
+  if (value.is_int64() && value.get_int64() >= 0)
+    return static_cast<std::uint64_t>(value.get_int64());
+  if (value.is_double() && value.get_double() >= 0 &&
+      value.get_double() <= kMaxExactInteger &&
+      value.get_double() == std::floor(value.get_double()))
+    return static_cast<std::uint64_t>(value.get_double());
+  return std::nullopt;
+}
+
+}  // namespace
+
 JsonObjectReader::JsonObjectReader(const JsonDocument& document,
                                    const json::value& value,
                                    std::string path,
@@ -24,12 +43,17 @@
   return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
 }
 
-void JsonObjectReader::Fault(std::string_view key, std::string expected) {
+ConfigFault JsonObjectReader::MakeFault(std::string_view key,
+                                        std::string expected) const {
   const std::string path = PathOf(key);
-  faults_.push_back(ConfigFault{.file = document_.file(),
-                                .line = document_.LineOf(path),
-                                .path = path,
-                                .expected = std::move(expected)});
+  return {.file = document_.file(),
+          .line = document_.LineOf(path),
+          .path = path,
+          .expected = std::move(expected)};
+}
+
+void JsonObjectReader::Fault(std::string_view key, std::string expected) {
+  faults_.push_back(MakeFault(key, std::move(expected)));
 }
 
 const json::value* JsonObjectReader::Find(std::string_view key) {
@@ -59,11 +83,9 @@
                                         const json::value& value,
                                         std::uint64_t minimum,
                                         std::uint64_t maximum) {
-  if (value.is_int64() && value.get_int64() >= 0) {
-    const auto number = static_cast<std::uint64_t>(value.get_int64());
-    if (number >= minimum && number <= maximum)
-      return number;
-  }
+  const std::optional<std::uint64_t> number = ToWholeNumber(value);
+  if (number && *number >= minimum && *number <= maximum)
+    return *number;
   Fault(key, "expected an integer from " + std::to_string(minimum) + " to " +
                  std::to_string(maximum));
   return minimum;
@@ -106,6 +128,32 @@
   return minimum;
 }
 
+Duration JsonObjectReader::OptionalDuration(
+    std::string_view key,
+    Duration unit,
+    const DurationRange& range,
+    std::vector<ConfigFault>& warnings) {
+  const json::value* value = Find(key);
+  if (!value)
+    return range.fallback;
+  // Compared before the conversion, which overflows for large values.
+  const double unit_ms = ToMilliseconds(unit);
+  const double least = ToMilliseconds(range.least) / unit_ms;
+  const double most = ToMilliseconds(range.most) / unit_ms;
+  Duration duration = range.fallback;
+  if (value->is_number()) {
+    const auto number = value->to_number<double>();
+    duration = FromMilliseconds(std::clamp(number, least, most) * unit_ms);
+    if (number >= least && number <= most)
+      return duration;
+  }
+  std::ostringstream expected;
+  expected << "expected a number from " << least << " to " << most << "; "
+           << ToMilliseconds(duration) / unit_ms << " is used";
+  warnings.push_back(MakeFault(key, expected.str()));
+  return duration;
+}
+
 bool JsonObjectReader::OptionalBool(std::string_view key, bool fallback) {
   const json::value* value = Find(key);
   if (!value)
--- a/Libraries/LibConfig/json_reader.h
+++ b/Libraries/LibConfig/json_reader.h
@@ -11,10 +11,18 @@
 #include <vector>
 
 #include "LibConfig/json_document.h"
+#include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 
 namespace mustardbank {
 
+// What a duration may be, and what it is if the document has none.
+struct DurationRange {
+  Duration fallback{};
+  Duration least{};
+  Duration most{};
+};
+
 // Reads one object of the document. A missing or malformed field adds a fault
 // and yields a fallback value, so that one pass finds all faults. Call `Finish`
 // last; it reports unknown keys.
@@ -28,6 +36,7 @@
   bool Has(std::string_view key);
   std::string RequiredString(std::string_view key);
   std::string OptionalString(std::string_view key, std::string fallback);
+  // Whole numbers, however they are spelled: 2000, 2000.0 or 2e3.
   std::uint64_t RequiredInteger(
       std::string_view key,
       std::uint64_t minimum,
@@ -41,6 +50,13 @@
                         double fallback,
                         double minimum,
                         double maximum);
+  // A number of `unit`, also with a fraction. A value that is not a number
+  // yields the fallback, and one out of range the nearest within it. Both add a
+  // warning instead of a fault, since the process can run without the value.
+  Duration OptionalDuration(std::string_view key,
+                            Duration unit,
+                            const DurationRange& range,
+                            std::vector<ConfigFault>& warnings);
   bool OptionalBool(std::string_view key, bool fallback);
   std::vector<std::string> RequiredStrings(std::string_view key);
   std::vector<std::string> OptionalStrings(std::string_view key);
@@ -64,6 +80,7 @@
  private:
   const boost::json::value* Find(std::string_view key);
   std::string PathOf(std::string_view key) const;
+  ConfigFault MakeFault(std::string_view key, std::string expected) const;
   std::uint64_t Integer(std::string_view key,
                         const boost::json::value& value,
                         std::uint64_t minimum,
--- a/Libraries/LibConfig/lease_settings.cc
+++ b/Libraries/LibConfig/lease_settings.cc
@@ -10,7 +10,29 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxMs = 600'000;
+struct Bound {
+  std::string_view key;
+  Duration unit;
+  Duration most;
+  Duration LeaseSettings::*member;
+};
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+constexpr Duration kSecond = std::chrono::seconds(1);
+constexpr Duration kMostBound = std::chrono::minutes(10);
+constexpr Bound kBounds[] = {
+    {"longest_lease_ms", kMillisecond, kMostBound,
+     &LeaseSettings::longest_lease},
+    {"stop_ms", kMillisecond, kMostBound, &LeaseSettings::stop_time},
+    {"grace_s", kSecond, std::chrono::hours(1), &LeaseSettings::grace_period},
+    {"drain_ms", kMillisecond, kMostBound, &LeaseSettings::drain_time},
+    {"configuration_ms", kMillisecond, kMostBound,
+     &LeaseSettings::configuration_time},
+    {"worker_heartbeat_ms", kMillisecond, kMostBound,
+     &LeaseSettings::worker_heartbeat},
+    {"capacity_notice_ms", kMillisecond, kMostBound,
+     &LeaseSettings::capacity_notice},
+};
 constexpr std::uint64_t kMaxPort = 65'535;
 
 double ReadCores(JsonObjectReader& reader) {
@@ -29,11 +51,6 @@
   std::vector<ConfigFault> faults;
   JsonObjectReader reader(document, document.root(), "", faults);
   LeaseSettings settings;
-  const auto read = [&reader](std::string_view key, std::uint32_t& value,
-                              std::uint64_t maximum) {
-    value = static_cast<std::uint32_t>(
-        reader.OptionalInteger(key, value, 1, maximum));
-  };
   settings.name = reader.RequiredString("name");
   settings.data_center = reader.RequiredString("data_center");
   settings.callers = reader.RequiredEndpoint("callers");
@@ -49,17 +66,20 @@
   settings.store = reader.RequiredEndpoint("store");
   if (reader.Has("processors"))
     settings.cores = ReadCores(reader);
-  read("memory_mb", settings.memory_mb, 1'048'576);
-  read("longest_lease_ms", settings.longest_lease_ms, kMaxMs);
-  read("stop_ms", settings.stop_ms, kMaxMs);
-  read("grace_s", settings.grace_s, 3600);
-  read("drain_ms", settings.drain_ms, kMaxMs);
-  read("configuration_ms", settings.configuration_ms, kMaxMs);
-  read("worker_heartbeat_ms", settings.worker_heartbeat_ms, kMaxMs);
-  read("capacity_notice_ms", settings.capacity_notice_ms, kMaxMs);
+  settings.memory_mb =
+      reader.OptionalNumber("memory_mb", settings.memory_mb, 1, 1'048'576);
+  for (const Bound& bound : kBounds) {
+    Duration& value = settings.*bound.member;
+    value = reader.OptionalDuration(
+        bound.key, bound.unit,
+        {.fallback = value, .least = kMillisecond, .most = bound.most},
+        settings.warnings);
+  }
   settings.unconfirmed_capacity_share = reader.OptionalNumber(
       "unconfirmed_capacity_share", settings.unconfirmed_capacity_share, 0, 1);
-  read("log_lines_per_second", settings.log_lines_per_second, 1'000'000);
+  settings.log_lines_per_second =
+      static_cast<std::uint32_t>(reader.OptionalInteger(
+          "log_lines_per_second", settings.log_lines_per_second, 1, 1'000'000));
   settings.queue_shares =
       reader.OptionalBool("queue_shares", settings.queue_shares);
   reader.Finish();
--- a/Libraries/LibConfig/lease_settings.h
+++ b/Libraries/LibConfig/lease_settings.h
@@ -4,8 +4,11 @@
 #include <boost/leaf/result.hpp>
 #include <cstdint>
 #include <string>
+#include <vector>
 
+#include "LibConfig/config_error.h"
 #include "LibConfig/json_document.h"
+#include "LibCore/boot_clock.h"
 #include "LibCore/endpoint.h"
 
 namespace mustardbank {
@@ -19,19 +22,21 @@
   Endpoint metrics;
   Endpoint store;
   double cores = 1;  // processor share times speed
-  std::uint32_t memory_mb = 256;
-  std::uint32_t longest_lease_ms = 1000;  // longest lease a worker grants
-  std::uint32_t stop_ms = 50;             // time a worker takes to stop a task
-  std::uint32_t grace_s = 6;              // from SIGTERM to SIGKILL
-  // Time from the registration that a worker leaves until it gets no more
-  // tasks.
-  std::uint32_t drain_ms = 2000;
-  std::uint32_t configuration_ms = 2000;  // time until a change is in force
+  double memory_mb = 256;
+  // Bounds of the platform, which may have fractions of their unit. One that
+  // can't be used is replaced (see `warnings`): the platform writes the file,
+  // and a VM that does not start serves nobody.
+  Duration longest_lease = std::chrono::seconds(1);    // that a worker grants
+  Duration stop_time = std::chrono::milliseconds(50);  // of a task
+  Duration grace_period = std::chrono::seconds(6);  // from SIGTERM to SIGKILL
+  // From the registration that a worker leaves until it gets no more tasks.
+  Duration drain_time = std::chrono::seconds(2);
+  Duration configuration_time =
+      std::chrono::seconds(2);  // until it is in force
   // Between two registrations of a worker.
-  std::uint32_t worker_heartbeat_ms = 1500;
-  // Time from a registration with a smaller capacity until starts must respect
-  // it.
-  std::uint32_t capacity_notice_ms = 3000;
+  Duration worker_heartbeat = std::chrono::milliseconds(1500);
+  // From a registration with a smaller capacity until starts must respect it.
+  Duration capacity_notice = std::chrono::seconds(3);
   // The share of their capacity that workers are assumed to have while their
   // registrations can't be read.
   double unconfirmed_capacity_share = 0.5;
@@ -40,6 +45,9 @@
   // capacity.
   bool queue_shares = false;
 
+  // Bounds in the document that could not be used, and what is used instead.
+  std::vector<ConfigFault> warnings{};
+
   // Fails with ConfigError, which lists all faults.
   static boost::leaf::result<LeaseSettings> Read(const JsonDocument& document);
   static boost::leaf::result<LeaseSettings> Load(const std::string& file);
--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -19,6 +19,7 @@
   kStopping,
   kStopped,
   kReloaded,
+  kSettingReplaced,
   kConfigurationInForce,
   kConfigurationUnreadable,
   kEvacuationRequested,
@@ -63,11 +64,12 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 46> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 47> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
      "reloaded",
+     "setting_replaced",
      "configuration_in_force",
      "configuration_unreadable",
      "evacuation_requested",
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -43,6 +43,12 @@
         unconfirmed_capacity_(timing.capacity),
         answer_timeout_(timing.least_command_timeout, timing.command_timeout) {}
 
+  // From now on. Leases granted before end as they were granted.
+  void SetTiming(const LeaseTiming& timing) {
+    timing_ = timing;
+    unconfirmed_capacity_.SetConfirmation(timing.capacity);
+  }
+
   // Workers. A worker whose token or address changes is verified again.
   void Own(const WorkerEntry& entry, std::uint64_t fencing_token, Time now);
   // An owned worker has registered again, without a change.
@@ -326,7 +332,7 @@
   void DidFindReplaced(LeasedWorker& worker, Time now);
   CommandTarget TargetOf(const LeasedWorker& worker) const;
 
-  const LeaseTiming timing_;
+  LeaseTiming timing_;
   EventLog& log_;
   std::map<std::string, LeasedWorker> workers_;
   std::map<std::string, Job> jobs_;
--- a/Libraries/LibLeaseEntry/lease_entry.cc
+++ b/Libraries/LibLeaseEntry/lease_entry.cc
@@ -63,10 +63,10 @@
 
 LeaseTiming TimingOf(const LeaseSettings& settings) {
   LeaseTiming timing;
-  timing.lease = FromMilliseconds(kLeaseShare * settings.longest_lease_ms);
-  timing.capacity = {.validity = milliseconds(settings.capacity_notice_ms +
-                                              settings.worker_heartbeat_ms) -
-                                 kCapacityMargin,
+  timing.lease =
+      FromMilliseconds(kLeaseShare * ToMilliseconds(settings.longest_lease));
+  timing.capacity = {.validity = settings.capacity_notice +
+                                 settings.worker_heartbeat - kCapacityMargin,
                      .share = settings.unconfirmed_capacity_share};
   return timing;
 }
@@ -161,7 +161,7 @@
                      .endpoint = endpoints_.peers,
                      .incarnation = incarnation_,
                      .power = settings_.cores},
-        milliseconds(settings_.drain_ms), control_, commands_);
+        settings_.drain_time, control_, commands_);
     const boost::system::error_code error =
         RunInFiber(thread_, [this] { return Begin(); });
     if (error)
@@ -176,7 +176,8 @@
   void Leave() {
     const Time began = BootClock::now();
     const Time end =
-        began + std::chrono::seconds(settings_.grace_s) - kExitMargin;
+        began + RunInFiber(thread_, [this] { return settings_.grace_period; }) -
+        kExitMargin;
     thread_.Post([this, end] { BeginLeave(end); });
     AwaitFinish(began + kMinLeaveTime, end);
     RunInFiber(thread_, [this, end] {
@@ -194,9 +195,14 @@
   }
 
   void Reload(const LeaseSettings& settings) {
-    thread_.Post([this, lines = settings.log_lines_per_second] {
-      log_.SetLinesPerSecond(lines);
-      log_.Write(LogEvent::kReloaded, BootClock::now(), LogBudget::kState);
+    thread_.Post([this, settings] {
+      const Time now = BootClock::now();
+      log_.SetLinesPerSecond(settings.log_lines_per_second);
+      log_.Write(LogEvent::kReloaded, now, LogBudget::kState);
+      LogWarnings(settings, now);
+      settings_.grace_period = settings.grace_period;
+      control_.dispatcher().SetTiming(TimingOf(settings));
+      store_->SetDrainTime(settings.drain_time);
     });
   }
 
@@ -228,6 +234,7 @@
                  endpoints_.readiness.ToString() + " peers " +
                  endpoints_.peers.ToString() + " metrics " +
                  endpoints_.metrics.ToString());
+    LogWarnings(settings_, BootClock::now());
     const boost::system::error_code error = datagrams_.Open(endpoints_.peers);
     if (error)
       return error;
@@ -236,6 +243,12 @@
     return {};
   }
 
+  void LogWarnings(const LeaseSettings& settings, Time now) {
+    for (const ConfigFault& warning : settings.warnings)
+      log_.Write(LogEvent::kSettingReplaced, now, LogBudget::kState)
+          .Add(LogField::kReason, warning.ToString());
+  }
+
   void SetLogOffset() {
     const ClockReading clock = ClockReading::Now();
     log_.SetWallOffset(clock.wall - std::chrono::duration_cast<milliseconds>(
@@ -339,7 +352,7 @@
     return false;
   }
 
-  const LeaseSettings settings_;
+  LeaseSettings settings_;
   const std::uint64_t incarnation_;
   LeaseEntryEndpoints endpoints_;
   FiberThread thread_;
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -31,6 +31,8 @@
 // the longer one reads it itself.
 constexpr double kReadShare = 0.5;
 constexpr double kSharedReadShare = 0.7;
+// However short that time is: the store serves a limited number of calls.
+constexpr milliseconds kLeastReadInterval{100};
 // Claims come in large numbers after a loss of many VMs. Waiting between reads
 // of their changes, by a millisecond for each VM, takes fewer calls.
 constexpr milliseconds kChangesDelayPerVm{1};
@@ -49,13 +51,21 @@
     : store_(io, store),
       peers_(io, {}),
       self_(std::move(self)),
-      workers_interval_(
-          FromMilliseconds(kReadShare * ToMilliseconds(drain_time))),
-      shared_workers_timeout_(
-          FromMilliseconds(kSharedReadShare * ToMilliseconds(drain_time))),
       control_(control),
       commands_(commands),
-      availability_({}, static_cast<std::uint32_t>(FastDigest(self_.name))) {}
+      availability_({}, static_cast<std::uint32_t>(FastDigest(self_.name))) {
+  SetDrainTime(drain_time);
+}
+
+void StoreLoop::SetDrainTime(Duration drain_time) {
+  const auto share_of = [drain_time](double share) {
+    return std::max<Duration>(
+        kLeastReadInterval,
+        FromMilliseconds(share * ToMilliseconds(drain_time)));
+  };
+  workers_interval_ = share_of(kReadShare);
+  shared_workers_timeout_ = share_of(kSharedReadShare);
+}
 
 void StoreLoop::Start() {
   started_at_ = BootClock::now();
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -37,6 +37,9 @@
 
   // Starts the loops. Must be called on the thread of `io`.
   void Start();
+  // Sets the time from the registration that a worker leaves until it gets no
+  // more tasks.
+  void SetDrainTime(Duration drain_time);
 
   void Claim(ClaimShard&& claim);
   void Probe(ProbeDataCenter&& probe);
@@ -139,8 +142,8 @@
   platform::RowStoreClient store_;
   ConnectionPool peers_;
   const MemberRecord self_;
-  const Duration workers_interval_;
-  const Duration shared_workers_timeout_;
+  Duration workers_interval_{};
+  Duration shared_workers_timeout_{};
   LeaseControl& control_;
   CommandSender& commands_;
   FiberPool fibers_;
--- a/Libraries/LibSchedule/unconfirmed_capacity.h
+++ b/Libraries/LibSchedule/unconfirmed_capacity.h
@@ -31,6 +31,10 @@
   explicit UnconfirmedCapacity(CapacityConfirmation confirmation)
       : confirmation_(confirmation) {}
 
+  void SetConfirmation(CapacityConfirmation confirmation) {
+    confirmation_ = confirmation;
+  }
+
   // A worker registered `capacity`; `largest` is the most it has had.
   void DidRegister(const Resources& capacity,
                    const Resources& largest,
--- a/Tests/Harness/lease_deployment.cc
+++ b/Tests/Harness/lease_deployment.cc
@@ -95,11 +95,14 @@
   return folder_ + "/entry" + std::to_string(entry) + ".log";
 }
 
-void LeaseDeployment::StartEntry(int index) {
-  const std::string name = "entry" + std::to_string(index);
-  const std::string file = folder_ + '/' + name + ".json";
-  std::ofstream(file) << json::serialize(json::object{
-      {"name", name},
+std::string LeaseDeployment::SettingsFile(int entry) const {
+  return folder_ + "/entry" + std::to_string(entry) + ".json";
+}
+
+void LeaseDeployment::WriteSettings(int index,
+                                    const json::object& changes) const {
+  json::object settings{
+      {"name", "entry" + std::to_string(index)},
       {"data_center",
        options_.data_centers[index % options_.data_centers.size()]},
       {"callers", "127.0.0.1:0"},
@@ -109,10 +112,21 @@
       {"metrics_port", 0},
       {"store", (store_routes_[index].port != 0 ? store_routes_[index] : store_)
                     .ToString()},
-      {"log_lines_per_second", 100'000}});
+      {"log_lines_per_second", 100'000}};
+  for (const auto& [key, value] : options_.settings)
+    settings[key] = value;
+  for (const auto& [key, value] : changes)
+    settings[key] = value;
+  std::ofstream(SettingsFile(index)) << json::serialize(settings);
+}
+
+void LeaseDeployment::StartEntry(int index) {
+  const std::string name = "entry" + std::to_string(index);
+  WriteSettings(index, {});
   entries_[index].reset();
   entries_[index] = std::make_unique<ChildProcess>(
-      std::vector<std::string>{MUSTARDBANK_BINARY, "lease-entry", file},
+      std::vector<std::string>{MUSTARDBANK_BINARY, "lease-entry",
+                               SettingsFile(index)},
       folder_ + '/' + name + ".err", EntryLog(index), kStartTimeout);
   const std::string& line = entries_[index]->first_line();
   callers_[index] = EndpointAfter(line, "\"callers");
@@ -234,6 +248,19 @@
   return violations;
 }
 
+bool LeaseDeployment::HasLogged(int entry,
+                                const std::string& event,
+                                const std::string& detail) const {
+  std::ifstream file(EntryLog(entry));
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.find("event=" + event + ' ') != std::string::npos &&
+        line.find(detail) != std::string::npos)
+      return true;
+  }
+  return false;
+}
+
 int LeaseDeployment::StartsOf(const std::string& job) const {
   int starts = 0;
   std::ifstream file(folder_ + "/starts");
--- a/Tests/Harness/lease_deployment.h
+++ b/Tests/Harness/lease_deployment.h
@@ -21,6 +21,8 @@
   std::int64_t millicores = 64'000;
   // Additional members of the stand-in's plan.
   boost::json::object plan{};
+  // Additional settings of each entry.
+  boost::json::object settings{};
 };
 
 // The answer to one request of a caller.
@@ -72,6 +74,8 @@
                         const std::vector<std::string>& prefixes) const;
 
   void StartEntry(int entry);
+  // Writes the settings file of the entry with other values.
+  void WriteSettings(int entry, const boost::json::object& changes) const;
   ChildProcess& entry(int index) { return *entries_[index]; }
   Endpoint callers(int index) const { return callers_[index]; }
   Endpoint metrics(int index) const { return metrics_[index]; }
@@ -79,12 +83,17 @@
 
   // The lines of the workers' log that begin with VIOLATION.
   std::vector<std::string> Violations() const;
+  // Whether a line of the entry's log has both texts.
+  bool HasLogged(int entry,
+                 const std::string& event,
+                 const std::string& detail) const;
   // Number of runs that the workers started for the tasks of a job.
   int StartsOf(const std::string& job) const;
   const std::string& folder() const { return folder_; }
 
  private:
   std::string EntryLog(int entry) const;
+  std::string SettingsFile(int entry) const;
 
   const LeaseDeploymentOptions options_;
   std::string folder_;
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -445,4 +445,34 @@
   CHECK(text.find("mustardbank_configuration_version 1") != std::string::npos);
 }
 
+TEST_GROUP(LeaseSettingsProcess){};
+
+// Guards against VMs that end when they are started again, since a bound of the
+// platform has a fraction or can't be read.
+TEST(LeaseSettingsProcess, bounds_that_are_no_whole_numbers_stop_no_entry) {
+  LeaseDeployment deployment{{.entries = 2,
+                              .workers = 4,
+                              .data_centers = {"rif"},
+                              .settings = {{"grace_s", 6.5},
+                                           {"drain_ms", 2000.5},
+                                           {"longest_lease_ms", 1e3},
+                                           {"stop_ms", nullptr}}}};
+  CHECK(deployment.WaitUntilReady(kReady));
+  CHECK_EQUAL(
+      200, deployment.Submit(0, IdOf(1), 2, 1000, 50, kCallerTimeout).status);
+  CHECK(deployment.HasLogged(0, "setting_replaced", "stop_ms"));
+  // A bound that changes while the process runs.
+  deployment.WriteSettings(0, {{"grace_s", 3.5}, {"drain_ms", "soon"}});
+  deployment.entry(0).Signal(SIGHUP);
+  const auto end = std::chrono::steady_clock::now() + kReady;
+  while (!deployment.HasLogged(0, "setting_replaced", "drain_ms") &&
+         std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(milliseconds(20));
+  CHECK(deployment.HasLogged(0, "setting_replaced", "drain_ms"));
+  CHECK_EQUAL(
+      200, deployment.Submit(0, IdOf(2), 2, 1000, 50, kCallerTimeout).status);
+  for (const std::string& line : deployment.Violations())
+    FAIL(line.c_str());
+}
+
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -454,7 +454,8 @@
           BOOST_LEAF_AUTO(document, JsonDocument::Parse(message, "settings"));
           BOOST_LEAF_AUTO(settings, LeaseSettings::Read(document));
           return settings.cores > 0 && settings.cores < 2e6 &&
-                 settings.drain_ms > 0 && settings.drain_ms <= 600'000;
+                 IsWithin(settings.drain_time, milliseconds(1),
+                          std::chrono::minutes(10));
         },
         [] { return true; });
   });
