LibLeaseEntry: Count lists of workers from their request, and keep the newer one

Cause: StoreLoop::ReadWorkersOnce took the time after the call for the time of the list. After a pause, an answer from before it counted as new, also against the check that waits for a fresh list, and was sent to other owners with an age of 0. These compared times only and replaced the newer list.

Change: a page of rows carries the time before the store was asked, set by the client of the store. Lists have the store's version, and a lower one never replaces a higher one. A list between VMs returns a stamp of its receiver, which bounds the time on the way. Of two registrations of a worker the newer is kept, by the worker's clock, so that an old list of an earlier build ends no drain.

Why it works: neither end takes an old list for new any more: the sender tells its true age, and the receiver compares versions, which need no clock.

LeaseProcess list_of_workers_counts_from_its_request fails with the former stamp, LeaseDispatcher older_registration_does_not_end_a_drain without the comparison.

--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -49,8 +49,10 @@
     unconfirmed_capacity_.SetConfirmation(timing.capacity);
   }
 
-  // Workers. A worker whose token or address changes is verified again.
-  void Own(const WorkerEntry& entry, std::uint64_t fencing_token, Time now);
+  // Workers. A worker whose token or address changes is verified again. A
+  // registration that is older than the one known, by the worker's own clock,
+  // only lowers its capacity.
+  void Own(const WorkerEntry& listed, std::uint64_t fencing_token, Time now);
   // An owned worker has registered again, without a change.
   void Confirm(const WorkerEntry& entry, Time now);
   // The worker's registration was removed: starts no more tasks there and drops
@@ -255,8 +257,7 @@
                   Time now);
   void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
   void ReadClock(LeasedWorker& worker, std::int64_t clock_ms, Time now);
-  // Takes over a registration. One that is older than the last, or of an
-  // earlier incarnation, never raises the capacity.
+  // Takes over a registration that is not older than the last.
   void ReadRegistration(LeasedWorker& worker,
                         const WorkerEntry& entry,
                         Time now);
--- a/Libraries/LibLease/lease_dispatcher_capacity.cc
+++ b/Libraries/LibLease/lease_dispatcher_capacity.cc
@@ -20,16 +20,7 @@
 void LeaseDispatcher::ReadRegistration(LeasedWorker& worker,
                                        const WorkerEntry& entry,
                                        Time now) {
-  const bool is_first = worker.entry.id.empty();
-  const bool is_older = entry.incarnation < worker.entry.incarnation ||
-                        (entry.incarnation == worker.entry.incarnation &&
-                         entry.registered.ms < worker.entry.registered.ms);
   const WorkerEntry last = std::exchange(worker.entry, entry);
-  if (!is_first && is_older) {
-    worker.entry.capacity = LesserOf(entry.capacity, last.capacity);
-    worker.entry.incarnation = last.incarnation;
-    worker.entry.registered = last.registered;
-  }
   if (entry.incarnation > last.incarnation)
     worker.largest_capacity = {};
   worker.largest_capacity =
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -9,16 +9,36 @@
 
 namespace {
 
+// Whether a registration is known to be older than another of the worker.
+bool IsOlder(const WorkerEntry& entry, const WorkerEntry& than) {
+  return entry.incarnation < than.incarnation ||
+         (entry.incarnation == than.incarnation && entry.registered.ms != 0 &&
+          entry.registered.ms < than.registered.ms);
+}
+
+// Of what is known and what a list holds, which may have been read before. An
+// older registration never raises the capacity.
+WorkerEntry NewerRegistration(const WorkerEntry& known,
+                              const WorkerEntry& listed) {
+  if (!IsOlder(listed, known))
+    return listed;
+  WorkerEntry newer = known;
+  newer.capacity = LesserOf(known.capacity, listed.capacity);
+  return newer;
+}
+
 // Speeds change over seconds; a fit takes some microseconds.
 constexpr Duration kSpeedsInterval = std::chrono::milliseconds(100);
 
 }  // namespace
 
-void LeaseDispatcher::Own(const WorkerEntry& entry,
+void LeaseDispatcher::Own(const WorkerEntry& listed,
                           std::uint64_t fencing_token,
                           Time now) {
-  const auto [it, is_new] = workers_.try_emplace(entry.id);
+  const auto [it, is_new] = workers_.try_emplace(listed.id);
   LeasedWorker& worker = it->second;
+  const WorkerEntry entry =
+      is_new ? listed : NewerRegistration(worker.entry, listed);
   const bool has_changed = !is_new && (worker.fencing_token != fencing_token ||
                                        worker.entry.endpoint != entry.endpoint);
   if (is_new || has_changed) {
--- a/Libraries/LibLease/row_store.h
+++ b/Libraries/LibLease/row_store.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/boot_clock.h"
 #include "LibCore/enum_names.h"
 
 namespace mustardbank {
@@ -20,6 +21,9 @@
 struct RowPage {
   std::vector<StoreRow> rows;
   std::uint64_t version = 0;  // newest version of the store
+  // When the store was asked. The rows are as new as this, however long the
+  // answer took and this process waited before it read it.
+  Time requested{};
 };
 
 // A change that applies only if the row still has the expected version.
--- a/Libraries/LibLease/shard.h
+++ b/Libraries/LibLease/shard.h
@@ -26,6 +26,15 @@
   }
 };
 
+// Registrations of workers, as the store held them at one moment.
+struct WorkerList {
+  std::vector<WorkerEntry> workers;
+  // Of the store when they were read. 0: not known, as from earlier builds.
+  std::uint64_t store_version = 0;
+  // The registrations are as new as this, or newer.
+  Time read_at{};
+};
+
 // The owner of a shard, as recorded in the platform's store.
 struct ShardRecord {
   ShardId shard;
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -43,47 +43,62 @@
 
 }  // namespace
 
-void LeaseControl::SetWorkers(std::vector<WorkerEntry> workers, Time now) {
-  ReplaceWorkers(std::move(workers), now, now);
+void LeaseControl::SetWorkers(WorkerList list, Time now) {
+  ownership_.NoticePause(now);
+  if (!IsOutdated(list))
+    ReplaceWorkers(std::move(list), now);
 }
 
-void LeaseControl::SetWorkersOfShards(const std::vector<ShardId>& shards,
-                                      std::vector<WorkerEntry> workers,
-                                      Time read_at,
-                                      Time now) {
+bool LeaseControl::SetWorkersOfShards(SharedWorkerList shared, Time now) {
   ownership_.NoticePause(now);
   // The list may have been sent before the pause.
   if (AwaitsListAfterPause(now))
-    return;
+    return false;
   const std::vector<ShardId> owned = ownership_.OwnedShards();
   const bool is_complete =
       std::all_of(owned.begin(), owned.end(), [&](const ShardId& shard) {
-        return std::find(shards.begin(), shards.end(), shard) != shards.end();
+        return std::find(shared.shards.begin(), shared.shards.end(), shard) !=
+               shared.shards.end();
       });
-  if (is_complete && read_at > workers_read_at_)
-    ReplaceWorkers(std::move(workers), read_at, now);
-}
-
-std::vector<WorkerEntry> LeaseControl::WorkersOf(
-    const std::vector<ShardId>& shards) const {
-  std::vector<WorkerEntry> workers;
+  const std::optional<Duration> age =
+      GreatestAge(shared.echo, self_.incarnation, now);
+  if (!is_complete || age == Duration::max())
+    return false;
+  // Without an echo, the way of the list counts as no time.
+  if (age)
+    shared.list.read_at -= *age;
+  if (IsOutdated(shared.list))
+    return false;
+  ReplaceWorkers(std::move(shared.list), now);
+  return true;
+}
+
+bool LeaseControl::IsOutdated(const WorkerList& list) const {
+  if (list.store_version != 0 && list_.store_version != 0)
+    return list.store_version < list_.store_version;
+  return list.read_at < list_.read_at;
+}
+
+WorkerList LeaseControl::WorkersOf(const std::vector<ShardId>& shards) const {
+  WorkerList list{.store_version = list_.store_version,
+                  .read_at = list_.read_at};
   for (const ShardId& shard : shards) {
     const auto it = workers_by_shard_.find(shard);
     if (it == workers_by_shard_.end())
       continue;
     for (const std::size_t index : it->second)
-      workers.push_back(workers_[index]);
+      list.workers.push_back(list_.workers[index]);
   }
-  return workers;
+  return list;
 }
 
-void LeaseControl::ReplaceWorkers(std::vector<WorkerEntry> workers,
-                                  Time read_at,
-                                  Time now) {
-  ownership_.NoticePause(now);
-  workers_read_at_ = read_at;
-  const bool has_changed = workers != workers_;
-  workers_ = std::move(workers);
+void LeaseControl::ReplaceWorkers(WorkerList list, Time now) {
+  // The time of a shared list is a lower bound, and earlier builds send no
+  // version.
+  list.read_at = std::max(list.read_at, list_.read_at);
+  list.store_version = std::max(list.store_version, list_.store_version);
+  const bool has_changed = list.workers != list_.workers;
+  list_ = std::move(list);
   if (has_changed)
     IndexWorkers();
   RemoveMissingWorkers(now);
@@ -94,8 +109,8 @@
   indexed_shard_counts_ = ownership_.shard_count_changes();
   worker_index_.clear();
   workers_by_shard_.clear();
-  for (std::size_t i = 0; i < workers_.size(); ++i) {
-    const WorkerEntry& entry = workers_[i];
+  for (std::size_t i = 0; i < list_.workers.size(); ++i) {
+    const WorkerEntry& entry = list_.workers[i];
     worker_index_[entry.id] = i;
     workers_by_shard_[ownership_.ShardOf(entry.id, entry.data_center)]
         .push_back(i);
@@ -125,7 +140,7 @@
     if (!ownership_.Owns(shard))
       continue;
     for (const std::size_t index : indexes)
-      SyncWorker(workers_[index], now);
+      SyncWorker(list_.workers[index], now);
   }
   std::vector<std::string> lost;
   for (const auto& [id, worker] : dispatcher_.workers()) {
@@ -159,23 +174,22 @@
 // since.
 bool LeaseControl::IsListFresh(const ShardId& shard, Time now) const {
   const Time claimed = ownership_.ClaimedAt(shard);
-  return workers_read_at_ >= claimed || now - claimed > kFreshListTimeout;
+  return list_.read_at >= claimed || now - claimed > kFreshListTimeout;
 }
 
 bool LeaseControl::AwaitsListAfterPause(Time now) const {
   const Time resumed_at = ownership_.resumed_at();
-  return resumed_at > workers_read_at_ && ownership_.has_store() &&
+  return resumed_at > list_.read_at && ownership_.has_store() &&
          now - resumed_at < kLongestHold;
 }
 
 bool LeaseControl::NeedsFreshWorkerList() const {
-  if (ownership_.OwnsAny() && ownership_.resumed_at() > workers_read_at_)
+  if (ownership_.OwnsAny() && ownership_.resumed_at() > list_.read_at)
     return true;
   return std::any_of(workers_by_shard_.begin(), workers_by_shard_.end(),
                      [this](const auto& entry) {
                        return ownership_.Owns(entry.first) &&
-                              ownership_.ClaimedAt(entry.first) >
-                                  workers_read_at_;
+                              ownership_.ClaimedAt(entry.first) > list_.read_at;
                      });
 }
 
@@ -393,7 +407,7 @@
     if (it == worker_index_.end())
       continue;
     ownership_.DidLoseShard(
-        ownership_.ShardOf(id, workers_[it->second].data_center), now);
+        ownership_.ShardOf(id, list_.workers[it->second].data_center), now);
     has_lost = true;
   }
   if (has_lost)
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -14,6 +14,7 @@
 #include "LibLease/lease_configuration.h"
 #include "LibLease/lease_dispatcher.h"
 #include "LibLease/ownership.h"
+#include "LibLeaseEntry/peer_codec.h"
 #include "LibSchedule/evacuations.h"
 #include "LibSchedule/router.h"
 
@@ -47,15 +48,15 @@
 
   // Events. The caller calls `Pump` after a batch of them; `Tick` and `Leave`
   // do so themselves.
-  void SetWorkers(std::vector<WorkerEntry> workers, Time now);
+  // Ignored if a list read later is known, since an answer of the store may be
+  // late.
+  void SetWorkers(WorkerList list, Time now);
   // Takes the workers of all shards that this VM owns, which another VM read.
-  // Ignored if shards are missing, or if a list read later is known.
-  void SetWorkersOfShards(const std::vector<ShardId>& shards,
-                          std::vector<WorkerEntry> workers,
-                          Time read_at,
-                          Time now);
+  // Returns whether it did: not if shards are missing, if a list read later is
+  // known, or if the age of the list has no bound.
+  bool SetWorkersOfShards(SharedWorkerList shared, Time now);
   // The workers of the shards, as in the list known.
-  std::vector<WorkerEntry> WorkersOf(const std::vector<ShardId>& shards) const;
+  WorkerList WorkersOf(const std::vector<ShardId>& shards) const;
   void SetConfiguration(LeaseConfiguration configuration,
                         std::string_view via,
                         Time now);
@@ -107,10 +108,10 @@
   Router& router() { return router_; }
   EventLog& log() { return log_; }
   const LeaseConfiguration& configuration() const { return configuration_; }
-  const std::vector<WorkerEntry>& workers() const { return workers_; }
+  const std::vector<WorkerEntry>& workers() const { return list_.workers; }
   const Ownership::Self& self() const { return self_; }
   const OwnershipTiming& ownership_timing() const { return ownership_timing_; }
-  Time workers_read_at() const { return workers_read_at_; }
+  Time workers_read_at() const { return list_.read_at; }
   // Whether a shard was claimed after the list of workers was read, or this
   // process was paused since.
   bool NeedsFreshWorkerList() const;
@@ -119,7 +120,9 @@
   std::vector<RouterCandidate> Owners(Time now) const;
 
  private:
-  void ReplaceWorkers(std::vector<WorkerEntry> workers, Time read_at, Time now);
+  // Whether the list was read before the one known.
+  bool IsOutdated(const WorkerList& list) const;
+  void ReplaceWorkers(WorkerList list, Time now);
   void IndexWorkers();
   void SyncWorkers(Time now);
   void SyncWorker(const WorkerEntry& entry, Time now);
@@ -156,9 +159,8 @@
   std::map<std::string, Time> last_starts_until_;
   std::optional<Time> active_at_;     // of the last event
   std::optional<Time> reread_since_;  // when the process noticed a pause
-  std::vector<WorkerEntry> workers_;
-  Time workers_read_at_{};
-  // Indexes into `workers_`.
+  WorkerList list_;
+  // Indexes into `list_.workers`.
   std::map<std::string, std::size_t, std::less<>> worker_index_;  // by id
   std::map<ShardId, std::vector<std::size_t>> workers_by_shard_;
   std::uint64_t indexed_shard_counts_ = 0;  // Ownership::shard_count_changes
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -437,30 +437,38 @@
   });
 }
 
-std::string EncodeWorkerList(const SharedWorkerList& list, Time now) {
+std::string EncodeWorkerList(const SharedWorkerList& shared, Time now) {
   json::array shards;
-  for (const ShardId& shard : list.shards)
+  for (const ShardId& shard : shared.shards)
     shards.push_back(
         json::object{{"dc", shard.data_center}, {"index", shard.index}});
   json::array workers;
-  for (const WorkerEntry& entry : list.workers)
+  for (const WorkerEntry& entry : shared.list.workers)
     workers.push_back(ToJson(entry));
-  return json::serialize(
-      json::object{{"age_us", ToMicroseconds(now - list.read_at)},
-                   {"shards", std::move(shards)},
-                   {"workers", std::move(workers)}});
+  json::object object{{"age_us", ToMicroseconds(now - shared.list.read_at)},
+                      {"shards", std::move(shards)},
+                      {"workers", std::move(workers)}};
+  if (shared.list.store_version != 0)
+    object["store_version"] = shared.list.store_version;
+  if (shared.echo)
+    object["echo"] = ToJson(*shared.echo);
+  return json::serialize(object);
 }
 
 std::optional<SharedWorkerList> DecodeWorkerList(std::string_view text,
                                                  Time now) {
   return Decode<SharedWorkerList>(text, [now](const json::object& object) {
-    SharedWorkerList list;
-    list.read_at = now - SpanIn(object, "age_us", {}, kMostOverdue);
+    SharedWorkerList shared;
+    shared.list.read_at = now - SpanIn(object, "age_us", {}, kMostOverdue);
     for (const json::value& shard : object.at("shards").as_array())
-      list.shards.push_back(ToShardId(shard.as_object()));
+      shared.shards.push_back(ToShardId(shard.as_object()));
     for (const json::value& worker : object.at("workers").as_array())
-      list.workers.push_back(ToWorkerEntry(worker.as_object()));
-    return list;
+      shared.list.workers.push_back(ToWorkerEntry(worker.as_object()));
+    if (object.contains("store_version"))
+      shared.list.store_version =
+          Integer<std::uint64_t>(object, "store_version");
+    shared.echo = StampIn(object, "echo");
+    return shared;
   });
 }
 
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -36,15 +36,18 @@
 std::string EncodeJobAnswer(const JobAnswer& answer);
 std::optional<JobAnswer> DecodeJobAnswer(std::string_view text);
 
-// The workers of some shards as registered at `read_at`, sent from the VM that
-// read the registrations to the owner of the shards.
+// The workers of some shards, sent from the VM that read the registrations to
+// the owner of the shards.
 struct SharedWorkerList {
-  Time read_at;
+  WorkerList list;
   std::vector<ShardId> shards;
-  std::vector<WorkerEntry> workers;
+  // The newest stamp of the owner that the sender has. Earlier builds send
+  // none.
+  std::optional<ClockStamp> echo{};
 };
 
-std::string EncodeWorkerList(const SharedWorkerList& list, Time now);
+// A decoded list counts as sent at `now`.
+std::string EncodeWorkerList(const SharedWorkerList& shared, Time now);
 std::optional<SharedWorkerList> DecodeWorkerList(std::string_view text,
                                                  Time now);
 
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -171,7 +171,6 @@
   while (true) {
     AwaitStore();
     origin.is_full = !has_read;
-    origin.requested = BootClock::now();
     const auto answer = CallUnlessAbandoned([=, this] {
       return has_read
                  ? store_.ReadChanges(table, version, wait, wait + kAnswerSlack)
@@ -257,8 +256,7 @@
   if (reported_rows_.size() > kMostReportedRows)
     reported_rows_.clear();
   if (origin.is_full)
-    control_.ReplaceEvacuations(table, page.version, via, origin.requested,
-                                now);
+    control_.ReplaceEvacuations(table, page.version, via, page.requested, now);
 }
 
 void StoreLoop::ApplyOperatorRow(const StoreRow& row, std::string_view via) {
@@ -296,13 +294,11 @@
   // than the pause.
   do {
     AwaitStore();
-    const Time requested = BootClock::now();
     platform::StoreResult<RowPage> page =
         store_.Read(platform::kOperatorTable, kCallTimeout);
     DidCall(page);
     if (page) {
-      ApplyOperatorPage(*page, {.is_full = true, .requested = requested},
-                        "read_again");
+      ApplyOperatorPage(*page, {.is_full = true}, "read_again");
       control_.Pump(BootClock::now());
     } else {
       SleepFiber(kRetryDelay);
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -109,7 +109,6 @@
   // one.
   struct PageOrigin {
     bool is_full = false;
-    Time requested;
     // When the page before was received. Changes of a feed are later.
     Time previous = Time::min();
   };
--- a/Libraries/LibLeaseEntry/store_loop_workers.cc
+++ b/Libraries/LibLeaseEntry/store_loop_workers.cc
@@ -80,14 +80,15 @@
       const Time sent = BootClock::now();
       const HttpResult<HttpResponse> response = peers_.Exchange(
           receiver.endpoint,
-          HttpRequest{.method = "POST",
-                      .target = std::string(kPeerWorkerList),
-                      .headers = {{"Content-Type", std::string(kJsonType)}},
-                      .body = EncodeWorkerList(
-                          {.read_at = control_.workers_read_at(),
-                           .shards = receiver.shards,
-                           .workers = control_.WorkersOf(receiver.shards)},
-                          sent)},
+          HttpRequest{
+              .method = "POST",
+              .target = std::string(kPeerWorkerList),
+              .headers = {{"Content-Type", std::string(kJsonType)}},
+              .body = EncodeWorkerList(
+                  {.list = control_.WorkersOf(receiver.shards),
+                   .shards = receiver.shards,
+                   .echo = control_.ownership().NewestStampOf(receiver.name)},
+                  sent)},
           kShareTimeout);
       if (response && response->status == 200)
         return;
@@ -104,8 +105,8 @@
 
 HttpResponse StoreLoop::ServeWorkerList(const HttpRequest& request) {
   const Time now = BootClock::now();
-  auto list = DecodeWorkerList(request.body, now);
-  if (!list) {
+  auto shared = DecodeWorkerList(request.body, now);
+  if (!shared) {
     control_.log()
         .Write(LogEvent::kRequestMalformed, now)
         .Add(LogField::kReason, "malformed list of workers from a peer");
@@ -114,9 +115,8 @@
   // Probes need the workers of other data centres, too.
   if (IsProbing(now))
     return {};
-  is_list_partial_ = true;
-  control_.SetWorkersOfShards(list->shards, std::move(list->workers),
-                              list->read_at, now);
+  if (control_.SetWorkersOfShards(std::move(*shared), now))
+    is_list_partial_ = true;
   control_.Pump(now);
   return {};
 }
@@ -151,7 +151,10 @@
   }
   cache_ = std::move(cache);
   is_list_partial_ = false;
-  control_.SetWorkers(std::move(workers), now);
+  control_.SetWorkers({.workers = std::move(workers),
+                       .store_version = page->version,
+                       .read_at = page->requested},
+                      now);
   control_.Pump(now);
   InitializeShardCounts(now);
   return true;
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -380,6 +380,25 @@
   CHECK_EQUAL(0, fixture.starts.size());
 }
 
+// Guards against starts on a draining worker after a list from before its
+// drain, such as a reader of an earlier build sends after a pause.
+TEST(LeaseDispatcher, older_registration_does_not_end_a_drain) {
+  WorkerEntry ready = MakeWorker("a");
+  ready.registered.ms = 5000;
+  WorkerEntry leaving = ready;
+  leaving.leaving = true;
+  leaving.registered.ms = 6000;
+  fixture.OwnVerified(leaving);
+  fixture.dispatcher.Own(ready, kToken, fixture.now);
+  fixture.Submit(MakeJob("job", fixture.now));
+  CHECK_EQUAL(0, fixture.starts.size());
+  // One without a reading of the worker's clock can't be told to be older.
+  ready.registered.ms = 0;
+  fixture.dispatcher.Own(ready, kToken, fixture.now);
+  fixture.Submit(MakeJob("next", fixture.now));
+  CHECK_EQUAL(1, fixture.starts.size());
+}
+
 TEST(LeaseDispatcher, foreign_runs_are_stopped_before_any_start) {
   fixture.dispatcher.Own(MakeWorker("a"), kToken, fixture.now);
   fixture.Advance(milliseconds(1));
--- a/Tests/LibLeaseEntry/evacuation_test.cc
+++ b/Tests/LibLeaseEntry/evacuation_test.cc
@@ -46,11 +46,12 @@
     control.Tick(now);
     control.ownership().DidClaim(claims.at(0), 12, now);
     control.SetWorkers(
-        {{.id = "a",
-          .service = "guide",
-          .endpoint = {.ip = 1, .port = 1},
-          .data_center = "rif",
-          .capacity = {.millicores = 64'000, .memory_mb = 1000}}},
+        {.workers = {{.id = "a",
+                      .service = "guide",
+                      .endpoint = {.ip = 1, .port = 1},
+                      .data_center = "rif",
+                      .capacity = {.millicores = 64'000, .memory_mb = 1000}}},
+         .read_at = now},
         now);
     Advance(milliseconds(10));
   }
@@ -297,9 +298,9 @@
   CHECK(decode(R"(,"coldRemainingMs":"x")").IsOver());
   CHECK(decode(R"(,"coldRemainingMs":2500)").remaining == milliseconds(2500));
   WorkerEntry entry{.id = "a", .cold = {milliseconds(2500)}};
-  const auto list =
-      DecodeWorkerList(EncodeWorkerList({.workers = {entry}}, Time()), Time());
-  CHECK(list->workers.at(0).cold.remaining == milliseconds(2500));
+  const auto shared = DecodeWorkerList(
+      EncodeWorkerList({.list = {.workers = {entry}}}, Time()), Time());
+  CHECK(shared->list.workers.at(0).cold.remaining == milliseconds(2500));
 }
 
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_control_test.cc
+++ b/Tests/LibLeaseEntry/lease_control_test.cc
@@ -69,7 +69,7 @@
   // The worker has capacity for two of the three tasks.
   void StartJobOfThreeAndLeave() {
     ClaimShardNow();
-    control.SetWorkers({MakeWorker("a")}, now);
+    control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
     control.Tick(now);
     AnswerRenewals({});
     control.Submit(MakeJob("job", 3), now);
@@ -114,7 +114,7 @@
 
 TEST(LeaseControl, workers_of_an_owned_shard_are_taken_over) {
   ClaimShardNow();
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   CHECK_EQUAL(1, control.dispatcher().workers().size());
 }
 
@@ -124,31 +124,36 @@
   ClaimShardNow();
   const ShardId shard{.data_center = "rif", .index = 0};
   now += milliseconds(10);
-  control.SetWorkersOfShards({}, {MakeWorker("a")}, now, now);
+  control.SetWorkersOfShards(
+      {.list = {.workers = {MakeWorker("a")}, .read_at = now}}, now);
   CHECK(control.workers().empty());
-  control.SetWorkersOfShards({shard}, {MakeWorker("a")}, now, now);
+  control.SetWorkersOfShards(
+      {.list = {.workers = {MakeWorker("a")}, .read_at = now},
+       .shards = {shard}},
+      now);
   control.Tick(now);
   CHECK_EQUAL(1, renewals.size());
-  CHECK_EQUAL(1, control.WorkersOf({shard}).size());
+  CHECK_EQUAL(1, control.WorkersOf({shard}).workers.size());
   // A list that was read before the one known arrives late.
-  control.SetWorkersOfShards({shard}, {}, now - milliseconds(5), now);
+  control.SetWorkersOfShards(
+      {.list = {.read_at = now - milliseconds(5)}, .shards = {shard}}, now);
   CHECK_EQUAL(1, control.workers().size());
 }
 
 TEST(LeaseControl, list_from_before_a_claim_is_not_used) {
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   ClaimShardNow();
   CHECK(control.NeedsFreshWorkerList());
   now += milliseconds(60);
   control.Tick(now);
   CHECK_EQUAL(0, control.dispatcher().workers().size());
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   CHECK_EQUAL(1, control.dispatcher().workers().size());
   CHECK(!control.NeedsFreshWorkerList());
 }
 
 TEST(LeaseControl, old_list_is_used_if_the_store_is_unavailable_again) {
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   ClaimShardNow();
   now += milliseconds(1600);
   control.Tick(now);
@@ -171,7 +176,7 @@
     control.ownership().DidClaim(claim, 12, now);
   WorkerEntry worker = MakeWorker("a");
   worker.data_center = "tanger";
-  control.SetWorkers({worker}, now);
+  control.SetWorkers({.workers = {worker}, .read_at = now}, now);
   control.Tick(now);
   control.dispatcher().DidRenew(renewals.at(0), CommandAnswer::kAccepted,
                                 {.incarnation = 1, .clock_ms = 1000}, now);
@@ -257,7 +262,7 @@
 // worker made it usable again before the list was read.
 TEST(LeaseControl, nothing_starts_after_a_pause_before_the_list_is_read) {
   ClaimShardNow();
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   control.Tick(now);
   AnswerRenewals({});
   now += milliseconds(700);
@@ -267,18 +272,69 @@
   CHECK_EQUAL(0, starts.size());
   CHECK(control.NeedsFreshWorkerList());
   // Another VM sent this list before or during the pause.
-  control.SetWorkersOfShards({{.data_center = "rif", .index = 0}},
-                             {MakeWorker("a")}, now, now);
+  control.SetWorkersOfShards(
+      {.list = {.workers = {MakeWorker("a")}, .read_at = now},
+       .shards = {{.data_center = "rif", .index = 0}}},
+      now);
   control.Pump(now);
   CHECK_EQUAL(0, starts.size());
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   control.Pump(now);
   CHECK_EQUAL(1, starts.size());
 }
 
+// Guards against starts on draining workers: an answer of the store from before
+// a pause, which this process reads when it resumes.
+TEST(LeaseControl, list_that_was_requested_before_a_pause_resumes_no_starts) {
+  ClaimShardNow();
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
+  control.Tick(now);
+  AnswerRenewals({});
+  const Time requested = now + milliseconds(1);
+  now += milliseconds(700);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = requested}, now);
+  control.Submit(MakeJob("job", 1), now);
+  control.Tick(now);
+  AnswerRenewals({});
+  CHECK_EQUAL(0, starts.size());
+  CHECK(control.NeedsFreshWorkerList());
+}
+
+// The same list, sent to an owner that was never paused: from a VM that takes
+// it for new, and held up on its way.
+TEST(LeaseControl, older_list_does_not_replace_a_newer_one) {
+  ClaimShardNow();
+  WorkerEntry leaving = MakeWorker("a");
+  leaving.leaving = true;
+  control.SetWorkers(
+      {.workers = {leaving}, .store_version = 20, .read_at = now}, now);
+  now += milliseconds(300);
+  SharedWorkerList shared{.list = {.workers = {MakeWorker("a")},
+                                   .store_version = 19,
+                                   .read_at = now},
+                          .shards = {{.data_center = "rif", .index = 0}}};
+  CHECK(!control.SetWorkersOfShards(shared, now));
+  CHECK(control.workers().at(0).leaving);
+  control.SetWorkers(shared.list, now);
+  CHECK(control.workers().at(0).leaving);
+  // Earlier builds send no version.
+  shared.list.store_version = 0;
+  shared.list.read_at = now - milliseconds(10);
+  shared.echo = ClockStamp{.incarnation = 5, .at = now - milliseconds(2000)};
+  CHECK(!control.SetWorkersOfShards(shared, now));
+  // Sent to an earlier process of this VM.
+  shared.echo = ClockStamp{.incarnation = 4, .at = now};
+  CHECK(!control.SetWorkersOfShards(shared, now));
+  CHECK(control.workers().at(0).leaving);
+  shared.list.store_version = 21;
+  shared.echo = ClockStamp{.incarnation = 5, .at = now - milliseconds(100)};
+  CHECK(control.SetWorkersOfShards(shared, now));
+  CHECK(!control.workers().at(0).leaving);
+}
+
 TEST(LeaseControl, starts_resume_after_a_pause_if_the_store_is_lost) {
   ClaimShardNow();
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   control.Tick(now);
   AnswerRenewals({});
   control.ownership().DidLoseStore();
@@ -291,14 +347,14 @@
 
 TEST(LeaseControl, worker_missing_briefly_is_kept) {
   ClaimShardNow();
-  control.SetWorkers({MakeWorker("a")}, now);
+  control.SetWorkers({.workers = {MakeWorker("a")}, .read_at = now}, now);
   now += milliseconds(1000);
-  control.SetWorkers({}, now);
+  control.SetWorkers({.workers = {}, .read_at = now}, now);
   now += milliseconds(2000);
-  control.SetWorkers({}, now);
+  control.SetWorkers({.workers = {}, .read_at = now}, now);
   CHECK_EQUAL(1, control.dispatcher().workers().size());
   now += milliseconds(1000);
-  control.SetWorkers({}, now);
+  control.SetWorkers({.workers = {}, .read_at = now}, now);
   CHECK_EQUAL(0, control.dispatcher().workers().size());
 }
 
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -232,6 +232,23 @@
   CHECK_EQUAL(200, deployment.Call(1, query, kCallerTimeout).status);
 }
 
+// Guards against starts on workers that have begun to leave: a list counted
+// from the arrival of the store's answer, and was sent to other owners as new.
+TEST(LeaseProcess, list_of_workers_counts_from_its_request) {
+  deployment.Admin({{"store", "slow"}});
+  const std::string name = "\nmustardbank_workers_list_age_seconds ";
+  // Until lists that were read before have been replaced, the age passes 0.4 s
+  // by itself. No list is younger from then on.
+  std::this_thread::sleep_for(milliseconds(2500));
+  for (int i = 0; i < 60; ++i) {
+    const std::string metrics = deployment.Scrape(1);
+    const std::size_t at = metrics.find(name);
+    CHECK(at != std::string::npos);
+    CHECK(std::stod(metrics.substr(at + name.size())) >= 0.4);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
 TEST(LeaseProcess, entry_serves_while_the_store_is_unavailable) {
   deployment.Admin({{"store", "refuse"}});
   std::this_thread::sleep_for(milliseconds(3000));
--- a/Tests/LibLeaseEntry/lease_simulation.cc
+++ b/Tests/LibLeaseEntry/lease_simulation.cc
@@ -276,7 +276,8 @@
     if (defect_ == LeaseDefect::kLeavingIgnored)
       entries.back().leaving = false;
   }
-  vm.control->SetWorkers(std::move(entries), Now());
+  vm.control->SetWorkers({.workers = std::move(entries), .read_at = Now()},
+                         Now());
 }
 
 void LeaseSimulation::SendHeartbeats(int index) {
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -144,7 +144,8 @@
     control.Tick(now);
     now += milliseconds(700);
     control.Tick(now);
-    control.SetWorkers({MakeWorker("a"), MakeWorker("b")}, now);
+    control.SetWorkers(
+        {.workers = {MakeWorker("a"), MakeWorker("b")}, .read_at = now}, now);
     AnswerRenewals();
   }
 
@@ -251,17 +252,20 @@
 
 TEST(MutatedMessages, lists_of_workers) {
   const std::string recorded =
-      EncodeWorkerList({.read_at = now - milliseconds(20),
+      EncodeWorkerList({.list = {.workers = {MakeWorker("a"), MakeWorker("b")},
+                                 .store_version = 7,
+                                 .read_at = now - milliseconds(20)},
                         .shards = {{.data_center = "rif", .index = 0}},
-                        .workers = {MakeWorker("a"), MakeWorker("b")}},
+                        .echo = ClockStamp{.incarnation = 5, .at = now}},
                        now);
   ForMutations(recorded, 4, [&](const std::string& message) {
-    const auto list = DecodeWorkerList(message, now);
-    if (!list)
+    const auto shared = DecodeWorkerList(message, now);
+    if (!shared)
       return true;
-    control.SetWorkersOfShards(list->shards, list->workers, list->read_at, now);
-    return IsWithin(now - list->read_at, {}, hours(1)) &&
-           std::all_of(list->workers.begin(), list->workers.end(),
+    control.SetWorkersOfShards(*shared, now);
+    const WorkerList& list = shared->list;
+    return IsWithin(now - list.read_at, {}, hours(1)) &&
+           std::all_of(list.workers.begin(), list.workers.end(),
                        [](const auto& entry) { return IsSane(entry); });
   });
 }
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -18,8 +18,9 @@
 //
 // POST /admin takes an object with any of:
 //   configuration: stored under the operator's key
-//   store: up, refuse, hang (calls are executed 3 s later), or lose (writes are
-//     executed but not answered in time)
+//   store: up, refuse, hang (calls are executed 3 s later), lose (writes are
+//     executed but not answered in time), or slow (calls are executed at once
+//     and answered 400 ms later)
 //   worker: ID or "*", together with
 //     mode: normal, down (not registered, does not answer), mute (executes
 //       commands but does not answer in time), late (executes commands 2 s
@@ -53,10 +54,12 @@
 constexpr milliseconds kLostAnswerDelay{20'000};
 constexpr milliseconds kStoreDelay{3000};
 constexpr milliseconds kStoreLatency{3};
+constexpr milliseconds kSlowStoreLatency{400};
 constexpr milliseconds kRegistrationInterval{1000};
 
-enum class StoreMode { kUp, kRefuse, kHang, kLose };
-constexpr EnumNames<StoreMode, 4> kStoreModes{{"up", "refuse", "hang", "lose"}};
+enum class StoreMode { kUp, kRefuse, kHang, kLose, kSlow };
+constexpr EnumNames<StoreMode, 5> kStoreModes{
+    {"up", "refuse", "hang", "lose", "slow"}};
 enum class WorkerMode { kNormal, kDown, kMute, kLate, kLeave };
 constexpr EnumNames<WorkerMode, 5> kWorkerModes{
     {"normal", "down", "mute", "late", "leave"}};
@@ -100,6 +103,14 @@
     if (mode == StoreMode::kHang)
       SleepFiber(kStoreDelay);
     SleepFiber(kStoreLatency);
+    HttpResponse response = Execute(request);
+    if (mode == StoreMode::kSlow)
+      SleepFiber(kSlowStoreLatency);
+    return response;
+  }
+
+ private:
+  HttpResponse Execute(const HttpRequest& request) {
     if (request.path() == "/mustardbank/rows-get")
       return ToResponse(200, Page(std::string(request.query("table")), 0));
     if (request.path() == "/mustardbank/rows-feed")
@@ -109,7 +120,6 @@
     return {.status = 404};
   }
 
- private:
   // Returns all live rows if `after` is 0, otherwise the rows that changed
   // after this version, including deleted rows.
   json::object Page(const std::string& table, std::uint64_t after) {
