LibLease: Start nothing on a restarted worker before its registration is known

Cause: the first report of the new process set the worker to held, and starts went on by the registration of the former one until the next list was read.

Change: a registration holds for the incarnation that it names. While the last report names another one, the worker is not available, in the one check that all placements pass. The registration is looked up by itself, at growing intervals. A start names the incarnation that was chosen and is not sent once a report shows another. It is not sent over a new connection after the worker has closed one, before the next report: a restart of an idle worker within 0.7 s shows in no report.

Why it works: service, labels, zone and state are taken from one life of the worker only, the one whose process receives the start.

Tests, each red without its part: LeaseDispatcher (three), LeaseProcess restarted_worker_gets_tasks_of_its_present_labels_only, CommandSender start_is_not_sent_to_the_next_process_of_a_worker. Three tests answered reports of an incarnation that the registration did not name, or expected starts right after a restart; they now register and report the same incarnation, and restarted_worker_has_its_own_capacity also expects no start before that.

--- a/Libraries/LibCore/event_log.h
+++ b/Libraries/LibCore/event_log.h
@@ -43,6 +43,7 @@
   kWorkerExcluded,
   kWorkerLost,
   kWorkerCapacity,
+  kRegistrationAwaited,
   kCapacityUnconfirmed,
   kCapacityConfirmed,
   kWorkersNotShared,
@@ -64,7 +65,7 @@
   kLinesDropped,
 };
 
-inline constexpr EnumNames<LogEvent, 47> kLogEventNames{
+inline constexpr EnumNames<LogEvent, 48> kLogEventNames{
     {"started",
      "stopping",
      "stopped",
@@ -93,6 +94,7 @@
      "worker_excluded",
      "worker_lost",
      "worker_capacity",
+     "registration_awaited",
      "capacity_unconfirmed",
      "capacity_confirmed",
      "workers_not_shared",
--- a/Libraries/LibHttp/connection_pool.cc
+++ b/Libraries/LibHttp/connection_pool.cc
@@ -5,15 +5,11 @@
 HttpResult<std::unique_ptr<HttpConnection>> ConnectionPool::Acquire(
     Endpoint endpoint,
     bool fresh) {
-  auto& idle = idle_[endpoint];
   if (fresh)
-    idle.clear();
-  while (!idle.empty()) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->IsReusable())
-      return connection;
-  }
+    Forget(endpoint);
+  bool was_closed = false;
+  if (auto connection = TakeIdle(endpoint, was_closed))
+    return connection;
   ++opened_;
   auto connection = std::make_unique<HttpConnection>(io_);
   const HttpResult<void> connected =
@@ -23,6 +19,19 @@
   return connection;
 }
 
+std::unique_ptr<HttpConnection> ConnectionPool::TakeIdle(Endpoint endpoint,
+                                                         bool& was_closed) {
+  auto& idle = idle_[endpoint];
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->IsReusable())
+      return connection;
+    was_closed = true;
+  }
+  return nullptr;
+}
+
 void ConnectionPool::Release(Endpoint endpoint,
                              std::unique_ptr<HttpConnection> connection) {
   auto& idle = idle_[endpoint];
--- a/Libraries/LibHttp/connection_pool.h
+++ b/Libraries/LibHttp/connection_pool.h
@@ -25,6 +25,10 @@
   // ones may no longer be answered.
   HttpResult<std::unique_ptr<HttpConnection>> Acquire(Endpoint endpoint,
                                                       bool fresh = false);
+  // Returns the idle connection that is to be used next, without opening one.
+  // Null if there is none. Drops those that the other side has closed, and sets
+  // `was_closed` if there was one.
+  std::unique_ptr<HttpConnection> TakeIdle(Endpoint endpoint, bool& was_closed);
   // Returns a connection to the pool after a successful exchange.
   void Release(Endpoint endpoint, std::unique_ptr<HttpConnection> connection);
   // Closes the idle connections to an endpoint.
--- a/Libraries/LibLease/commands.h
+++ b/Libraries/LibLease/commands.h
@@ -22,6 +22,8 @@
 
 struct StartCommand {
   CommandTarget target;
+  // Of the worker, when it was chosen by its labels and its capacity.
+  std::uint64_t incarnation = 0;
   RunId run;
   std::shared_ptr<const std::string> payload;
   std::int64_t lease_until_ms = 0;  // on the worker's clock
--- a/Libraries/LibLease/lease_dispatcher.h
+++ b/Libraries/LibLease/lease_dispatcher.h
@@ -116,6 +116,11 @@
   OwnerLoad Load(Time now) const;
   // Workers whose capacity may have changed since they registered.
   std::size_t UnconfirmedWorkers(Time now) const;
+  // Workers that have restarted and whose registration is not known yet.
+  std::size_t UnregisteredWorkers() const;
+  // The ids of those whose registration should be looked up now, each at
+  // intervals that grow.
+  std::vector<std::string> TakeLookups(Time now);
   const LeaseCounters& counters() const { return counters_; }
   const WorkerSpeeds& speeds() const { return speeds_; }
   CrashHistory& crashes() { return crashes_; }
@@ -255,6 +260,9 @@
                   const RenewCommand& command,
                   const RenewReport& report,
                   Time now);
+  // Nothing starts on a worker that has restarted until its registration is
+  // known.
+  void AwaitRegistration(LeasedWorker& worker, Time now);
   void ReadCapacity(LeasedWorker& worker, const RenewReport& report, Time now);
   void ReadClock(LeasedWorker& worker, std::int64_t clock_ms, Time now);
   // Takes over a registration that is not older than the last.
--- a/Libraries/LibLease/lease_dispatcher_jobs.cc
+++ b/Libraries/LibLease/lease_dispatcher_jobs.cc
@@ -314,6 +314,7 @@
              LatestRunTime(job, task.group, now)))
     ++counters_.late_starts;
   StartCommand command{.target = TargetOf(worker),
+                       .incarnation = worker.incarnation,
                        .run = run,
                        .payload = job.payload,
                        .lease_until_ms = worker.GrantLease(timing_, now),
--- a/Libraries/LibLease/lease_dispatcher_workers.cc
+++ b/Libraries/LibLease/lease_dispatcher_workers.cc
@@ -27,6 +27,13 @@
   return newer;
 }
 
+// Between lookups of the registration of a worker that has restarted. Workers
+// register when they start.
+constexpr Duration kFirstLookupInterval = std::chrono::milliseconds(100);
+constexpr Duration kMostLookupInterval = std::chrono::milliseconds(800);
+// At a time. Where a whole rack restarts, the next list has its workers as
+// soon.
+constexpr std::size_t kMostLookups = 8;
 // Speeds change over seconds; a fit takes some microseconds.
 constexpr Duration kSpeedsInterval = std::chrono::milliseconds(100);
 
@@ -52,10 +59,14 @@
   if (worker.phase == WorkerPhase::kDown &&
       worker.entry.incarnation != entry.incarnation)
     worker.next_renewal_at = now;
+  const std::uint64_t last_registered = worker.entry.incarnation;
   if (is_new || worker.entry != entry)
     worker.cold_until = now + entry.cold.remaining;
   worker.fencing_token = fencing_token;
   ReadRegistration(worker, entry, now);
+  // The worker has restarted: its first report shows what it runs.
+  if (worker.AwaitsReport() && worker.entry.incarnation > last_registered)
+    ProbeNow(worker, now);
   const auto evacuated = evacuated_.find(entry.data_center);
   worker.is_evacuated = evacuated != evacuated_.end();
   worker.last_starts_until =
@@ -91,6 +102,8 @@
     return false;
   const auto it = workers_.find(command.target.worker);
   return it != workers_.end() &&
+         command.incarnation == it->second.incarnation &&
+         !it->second.HasForeignRegistration() &&
          (!it->second.is_evacuated || now < it->second.last_starts_until);
 }
 
@@ -168,6 +181,7 @@
   return worker.phase != WorkerPhase::kHeld || !worker.IsIdle() ||
          !worker.unsettled_starts.empty() ||
          worker.acknowledged > worker.acknowledged_sent ||
+         worker.AwaitsReport() ||
          now - worker.answered_at >= timing_.idle_interval;
 }
 
@@ -294,7 +308,8 @@
   // A late report of an earlier incarnation.
   if (report.incarnation < worker.incarnation)
     return;
-  if (report.incarnation > worker.incarnation) {
+  const bool is_restarted = report.incarnation > worker.incarnation;
+  if (is_restarted) {
     // The new incarnation numbers the ends of runs from the start. It does not
     // list the runs of the old one, but may list a run that was started since.
     worker.acknowledged = 0;
@@ -309,6 +324,8 @@
     worker.reported_until = Time::min();
   }
   worker.incarnation = report.incarnation;
+  if (is_restarted)
+    AwaitRegistration(worker, now);
   if (worker.lost == worker.IncarnationKey()) {
     crashes_.Withdraw(worker.IncarnationKey());
     worker.lost.reset();
@@ -368,6 +385,38 @@
   StopStragglers(worker, made_at, now);
 }
 
+void LeaseDispatcher::AwaitRegistration(LeasedWorker& worker, Time now) {
+  if (!worker.HasForeignRegistration())
+    return;
+  worker.lookup_at = now;
+  worker.lookup_interval = kFirstLookupInterval;
+  log_.Write(LogEvent::kRegistrationAwaited, now, LogBudget::kState)
+      .Add(LogField::kWorker, worker.entry.id)
+      .Add(LogField::kVersion, worker.incarnation);
+}
+
+std::size_t LeaseDispatcher::UnregisteredWorkers() const {
+  return static_cast<std::size_t>(std::count_if(
+      workers_.begin(), workers_.end(),
+      [](const auto& entry) { return entry.second.HasForeignRegistration(); }));
+}
+
+std::vector<std::string> LeaseDispatcher::TakeLookups(Time now) {
+  std::vector<std::string> ids;
+  for (auto& [id, worker] : workers_) {
+    if (ids.size() == kMostLookups)
+      break;
+    if (!worker.HasForeignRegistration() || worker.AwaitsReport() ||
+        now < worker.lookup_at)
+      continue;
+    ids.push_back(id);
+    worker.lookup_at = now + worker.lookup_interval;
+    worker.lookup_interval =
+        std::min(2 * worker.lookup_interval, kMostLookupInterval);
+  }
+  return ids;
+}
+
 void LeaseDispatcher::ExcludeWorker(LeasedWorker& worker, Time now) {
   ++counters_.exclusions;
   worker.outcome_health.DidFail(now);
@@ -453,10 +502,10 @@
   }
   if (answer == CommandAnswer::kUnhealthy)
     ExcludeWorker(worker, now);
-  if (answer == CommandAnswer::kNotSent)
-    SetPhase(worker, WorkerPhase::kSuspect, now);
-  if (answer == CommandAnswer::kNoRoom || answer == CommandAnswer::kLate) {
-    // The state kept of the worker is wrong: polls it before the next start.
+  if (answer == CommandAnswer::kNoRoom || answer == CommandAnswer::kLate ||
+      answer == CommandAnswer::kNotSent) {
+    // The state kept of the worker may be wrong: polls it before the next
+    // start.
     SetPhase(worker, WorkerPhase::kSuspect, now);
     ProbeNow(worker, now);
   }
--- a/Libraries/LibLease/leased_worker.h
+++ b/Libraries/LibLease/leased_worker.h
@@ -83,6 +83,10 @@
   bool unlisted = false;   // its registration was removed
   WorkerPhase phase = WorkerPhase::kUnverified;
   std::uint64_t incarnation = 0;  // of the last report
+  // When the registration of that incarnation is looked up next, while the one
+  // known is of another.
+  Time lookup_at{};
+  Duration lookup_interval{};
   bool has_clock = false;
   std::int64_t clock_ms = 0;  // reading of the worker's clock at `clock_at`
   Time clock_at;
@@ -154,6 +158,18 @@
     return free_capacity;
   }
 
+  // Whether the registration is of another incarnation than the last report. It
+  // may have had another service, other labels or another data centre.
+  bool HasForeignRegistration() const {
+    return incarnation != 0 && entry.incarnation != 0 &&
+           incarnation != entry.incarnation;
+  }
+
+  // Whether the worker has registered anew since its last report.
+  bool AwaitsReport() const {
+    return incarnation != 0 && entry.incarnation > incarnation;
+  }
+
   bool IsCold(Time now) const {
     return !entry.cold.IsOver() && now < cold_until;
   }
@@ -168,6 +184,8 @@
   bool IsAvailable(const LeaseTiming& timing,
                    Time now,
                    bool is_job_started) const {
+    if (HasForeignRegistration())
+      return false;
     if (is_evacuated && !(is_job_started && now < last_starts_until))
       return false;
     // A cold worker warms up with one task at a time.
@@ -190,7 +208,8 @@
   // Whether the capacity counts for the admission of jobs.
   bool CountsForAdmission() const {
     return phase == WorkerPhase::kHeld && !entry.leaving && !releasing &&
-           !is_evacuated && outcome_health.strikes() <= 1;
+           !is_evacuated && !HasForeignRegistration() &&
+           outcome_health.strikes() <= 1;
   }
 
   IncarnationId IncarnationKey() const {
--- a/Libraries/LibLeaseEntry/command_sender.cc
+++ b/Libraries/LibLeaseEntry/command_sender.cc
@@ -29,7 +29,7 @@
   fibers_.Run([this, command = std::move(command)] {
     platform::CommandReply reply{.answer = CommandAnswer::kNotSent};
     HttpResult<std::unique_ptr<HttpConnection>> connection =
-        pool_.Acquire(command.target.endpoint);
+        AcquireForStart(command.target.endpoint);
     if (!connection) {
       reply = platform::DecodeCommandReply(connection.error());
     } else if (control_.MaySend(command, BootClock::now())) {
@@ -49,6 +49,23 @@
   });
 }
 
+HttpResult<std::unique_ptr<HttpConnection>> CommandSender::AcquireForStart(
+    Endpoint worker) {
+  bool was_closed = false;
+  if (auto connection = pool_.TakeIdle(worker, was_closed);
+      connection && !was_closed)
+    return connection;
+  // The connection of the last report tells whether its process still lives.
+  if (auto witness = renew_pool_.TakeIdle(worker, was_closed))
+    renew_pool_.Release(worker, std::move(witness));
+  if (was_closed) {
+    pool_.Forget(worker);
+    return HttpError{.failure = HttpFailure::kNotSent,
+                     .reason = "the worker has closed its connections"};
+  }
+  return pool_.Acquire(worker);
+}
+
 void CommandSender::Stop(StopCommand&& command) {
   fibers_.Run([this, command = std::move(command)] {
     const HttpResult<HttpResponse> response =
--- a/Libraries/LibLeaseEntry/command_sender.h
+++ b/Libraries/LibLeaseEntry/command_sender.h
@@ -23,6 +23,11 @@
   }
 
  private:
+  // Returns a connection to the process that the worker's last report came
+  // from. A process that ends closes its connections, and the next one may have
+  // other labels: while no report of it has been received, it gets no start.
+  HttpResult<std::unique_ptr<HttpConnection>> AcquireForStart(Endpoint worker);
+
   LeaseControl& control_;
   ConnectionPool pool_;  // for start and stop commands
   // For lease renewals. A worker delays its answer until a run ends, so each
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -79,6 +79,20 @@
   return list.read_at < list_.read_at;
 }
 
+void LeaseControl::UpdateWorker(WorkerEntry entry,
+                                std::uint64_t store_version,
+                                Time now) {
+  const auto it = worker_index_.find(entry.id);
+  if (it == worker_index_.end() || store_version < list_.store_version)
+    return;
+  WorkerEntry& known = list_.workers[it->second];
+  const bool has_moved = known.data_center != entry.data_center;
+  known = std::move(entry);
+  if (has_moved)
+    IndexWorkers();
+  SyncWorkers(now);
+}
+
 WorkerList LeaseControl::WorkersOf(const std::vector<ShardId>& shards) const {
   WorkerList list{.store_version = list_.store_version,
                   .read_at = list_.read_at};
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -55,6 +55,9 @@
   // Returns whether it did: not if shards are missing, if a list read later is
   // known, or if the age of the list has no bound.
   bool SetWorkersOfShards(SharedWorkerList shared, Time now);
+  // Takes a registration that was read by itself, of a worker in the list.
+  // Ignored if the list was read from a later version of the store.
+  void UpdateWorker(WorkerEntry entry, std::uint64_t store_version, Time now);
   // The workers of the shards, as in the list known.
   WorkerList WorkersOf(const std::vector<ShardId>& shards) const;
   void SetConfiguration(LeaseConfiguration configuration,
--- a/Libraries/LibLeaseEntry/lease_metrics.cc
+++ b/Libraries/LibLeaseEntry/lease_metrics.cc
@@ -81,6 +81,9 @@
   writer.Gauge("workers_unconfirmed",
                "Workers whose registration is too old to show their capacity",
                static_cast<double>(dispatcher.UnconfirmedWorkers(now)));
+  writer.Gauge("workers_unregistered",
+               "Workers that have restarted and whose registration is unknown",
+               static_cast<double>(dispatcher.UnregisteredWorkers()));
   double least = 0;
   double greatest = 0;
   for (const auto& [id, worker] : dispatcher.workers()) {
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -72,6 +72,7 @@
   RunLoop("operator_table", [this] { FollowOperatorTable(); });
   RunLoop("shared_table", [this] { FollowSharedTable(); });
   RunLoop("workers", [this] { ReadWorkers(); });
+  RunLoop("registrations", [this] { LookUpRegistrations(); });
   RunLoop("store_probe", [this] { ProbeStore(); });
   RunLoop("recall", [this] { RecallLearned(); });
   RunLoop("learned", [this] { KeepLearned(); });
--- a/Libraries/LibLeaseEntry/store_loop.h
+++ b/Libraries/LibLeaseEntry/store_loop.h
@@ -71,6 +71,13 @@
   void FollowSharedTable();
   void ReadWorkers();
   bool ReadWorkersOnce();
+  // Looks up the registrations of workers that have restarted, between reads of
+  // the whole list.
+  void LookUpRegistrations();
+  // Returns whether the store answered.
+  bool LookUpRegistration(const std::string& worker);
+  // Empty if the row names no worker to use.
+  std::optional<WorkerEntry> DecodeRegistration(const StoreRow& row, Time now);
   // Sends the workers just read to the owners that expect them.
   void ShareWorkers();
   bool NeedsWorkers(Time now) const;
--- a/Libraries/LibLeaseEntry/store_loop_workers.cc
+++ b/Libraries/LibLeaseEntry/store_loop_workers.cc
@@ -132,22 +132,14 @@
   std::vector<WorkerEntry> workers;
   for (const StoreRow& row : page->rows) {
     const auto known = cache_.find(row.key);
-    if (known != cache_.end() && known->second.version == row.version) {
-      cache.insert(*known);
-    } else {
-      const auto entry = platform::DecodeWorker(row);
-      const bool was_unreadable = known != cache_.end() && !known->second.entry;
-      if (!entry && !was_unreadable) {
-        control_.log()
-            .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
-            .Add(LogField::kWorker, row.key)
-            .Add(LogField::kReason, entry.error().reason);
-      }
-      cache[row.key] = {row.version,
-                        entry ? std::optional(*entry) : std::nullopt};
-    }
-    if (const auto& entry = cache[row.key].entry)
-      workers.push_back(*entry);
+    const bool is_cached =
+        known != cache_.end() && known->second.version == row.version;
+    CachedWorker cached =
+        is_cached ? known->second
+                  : CachedWorker{row.version, DecodeRegistration(row, now)};
+    if (cached.entry)
+      workers.push_back(*cached.entry);
+    cache[row.key] = std::move(cached);
   }
   cache_ = std::move(cache);
   is_list_partial_ = false;
@@ -160,6 +152,50 @@
   return true;
 }
 
+std::optional<WorkerEntry> StoreLoop::DecodeRegistration(const StoreRow& row,
+                                                         Time now) {
+  auto entry = platform::DecodeWorker(row);
+  if (entry)
+    return std::move(*entry);
+  const auto known = cache_.find(row.key);
+  const bool was_reported = known != cache_.end() && !known->second.entry;
+  if (!was_reported) {
+    control_.log()
+        .Write(LogEvent::kStoreRowUnreadable, now, LogBudget::kState)
+        .Add(LogField::kWorker, row.key)
+        .Add(LogField::kReason, entry.error().reason);
+  }
+  return std::nullopt;
+}
+
+void StoreLoop::LookUpRegistrations() {
+  while (true) {
+    SleepFiber(kIdlePoll);
+    if (availability_.is_lost())
+      continue;
+    for (const std::string& worker :
+         control_.dispatcher().TakeLookups(BootClock::now())) {
+      if (!LookUpRegistration(worker))
+        break;
+    }
+  }
+}
+
+bool StoreLoop::LookUpRegistration(const std::string& worker) {
+  const platform::StoreResult<RowPage> page =
+      store_.ReadRow(platform::kWorkerTable, worker, kCallTimeout);
+  DidCall(page);
+  if (!page)
+    return false;
+  const Time now = BootClock::now();
+  for (const StoreRow& row : page->rows) {
+    if (auto entry = DecodeRegistration(row, now))
+      control_.UpdateWorker(std::move(*entry), page->version, now);
+  }
+  control_.Pump(now);
+  return true;
+}
+
 void StoreLoop::InitializeShardCounts(Time now) {
   std::map<std::string, std::uint32_t> workers;
   for (const WorkerEntry& entry : control_.workers())
--- a/Tests/LibLease/capacity_test.cc
+++ b/Tests/LibLease/capacity_test.cc
@@ -124,6 +124,9 @@
   fixture.OwnVerified(earlier);
   Read(later);
   Read(earlier);
+  // Nothing starts before a report of the new incarnation.
+  fixture.Advance(milliseconds(10));
+  fixture.AnswerRenewals({.incarnation = 4});
   CHECK_EQUAL(1, StartsOf(2, 27'000));
 }
 
--- a/Tests/LibLease/dispatcher_test.cc
+++ b/Tests/LibLease/dispatcher_test.cc
@@ -236,6 +236,87 @@
   CHECK_EQUAL(1, fixture.starts.size());
 }
 
+// Guards against tasks on a worker that lacks their label: it restarted as
+// another kind, and the registration known is of its former incarnation.
+TEST(LeaseDispatcher, restarted_worker_waits_for_its_registration) {
+  WorkerEntry former = MakeWorker("a");
+  former.labels = {"gpu"};
+  former.incarnation = 1;
+  fixture.OwnVerified(former);
+  CHECK_EQUAL(0, fixture.dispatcher.UnregisteredWorkers());
+  fixture.Advance(milliseconds(710));
+  fixture.dispatcher.DidRenew(
+      fixture.renewals.at(0), CommandAnswer::kAccepted,
+      {.incarnation = 2, .clock_ms = fixture.WorkerClock()}, fixture.now);
+  JobRequest needs_gpu = MakeJob("gpu", fixture.now);
+  needs_gpu.groups[0].required_label = "gpu";
+  fixture.Submit(needs_gpu);
+  fixture.Submit(MakeJob("early", fixture.now));
+  CHECK_EQUAL(0, fixture.starts.size());
+  CHECK_EQUAL(1, fixture.dispatcher.UnregisteredWorkers());
+
+  // Its registration is looked up, at intervals that grow.
+  CHECK_EQUAL(1, fixture.dispatcher.TakeLookups(fixture.now).size());
+  CHECK(fixture.dispatcher.TakeLookups(fixture.now).empty());
+  CHECK_EQUAL(
+      1,
+      fixture.dispatcher.TakeLookups(fixture.now + milliseconds(100)).size());
+  CHECK(
+      fixture.dispatcher.TakeLookups(fixture.now + milliseconds(299)).empty());
+
+  // A list that still has the former incarnation changes nothing.
+  fixture.dispatcher.Own(former, kToken, fixture.now);
+  fixture.Submit(needs_gpu);
+  CHECK_EQUAL(0, fixture.starts.size());
+  WorkerEntry present = former;
+  present.labels = {"plain"};
+  present.incarnation = 2;
+  fixture.dispatcher.Own(present, kToken, fixture.now);
+  fixture.Submit(needs_gpu);
+  CHECK_EQUAL(0, fixture.starts.size());
+  fixture.Submit(MakeJob("any", fixture.now));
+  CHECK_EQUAL(1, fixture.starts.size());
+  CHECK(
+      fixture.dispatcher.TakeLookups(fixture.now + milliseconds(900)).empty());
+}
+
+// The command may wait for a connection while the report of a restart arrives.
+TEST(LeaseDispatcher, start_for_a_former_incarnation_is_not_sent) {
+  WorkerEntry entry = MakeWorker("a");
+  entry.incarnation = 1;
+  fixture.OwnVerified(entry);
+  fixture.Submit(MakeJob("job", fixture.now));
+  const StartCommand start = fixture.starts.at(0);
+  CHECK(fixture.dispatcher.MaySend(start, fixture.now));
+  fixture.dispatcher.DidRenew(
+      fixture.renewals.at(0), CommandAnswer::kAccepted,
+      {.incarnation = 2, .clock_ms = fixture.WorkerClock()}, fixture.now);
+  CHECK(!fixture.dispatcher.MaySend(start, fixture.now));
+  entry.incarnation = 2;
+  fixture.dispatcher.Own(entry, kToken, fixture.now);
+  CHECK(!fixture.dispatcher.MaySend(start, fixture.now));
+}
+
+// The registration may be known before the first report that shows the restart:
+// the runs and the capacity in use are those of the former incarnation.
+TEST(LeaseDispatcher, registration_of_a_restart_waits_for_a_report) {
+  WorkerEntry former = MakeWorker("a");
+  former.incarnation = 1;
+  fixture.OwnVerified(former);
+  WorkerEntry present = former;
+  present.incarnation = 2;
+  present.labels = {"gpu"};
+  fixture.dispatcher.Own(present, kToken, fixture.now);
+  fixture.Submit(MakeJob("job", fixture.now));
+  CHECK_EQUAL(0, fixture.starts.size());
+  fixture.Advance(milliseconds(10));
+  fixture.dispatcher.DidRenew(
+      fixture.renewals.at(0), CommandAnswer::kAccepted,
+      {.incarnation = 2, .clock_ms = fixture.WorkerClock()}, fixture.now);
+  fixture.Submit(MakeJob("next", fixture.now));
+  CHECK_EQUAL(1, fixture.starts.size());
+}
+
 // The worker may have restarted and reset its clock, and would then accept a
 // command that arrives too late.
 TEST(LeaseDispatcher, worker_without_a_recent_answer_gets_no_task) {
--- a/Tests/LibLease/lease_fixture.h
+++ b/Tests/LibLease/lease_fixture.h
@@ -62,9 +62,11 @@
     AnswerRenewals({});
   }
 
-  // Answers all renewals in flight with the same report.
+  // Answers all renewals in flight with the same report. Its incarnation is 1
+  // unless it is set.
   void AnswerRenewals(RenewReport report) {
-    report.incarnation = 1;
+    if (report.incarnation == 0)
+      report.incarnation = 1;
     report.clock_ms = WorkerClock();
     for (const RenewCommand& renewal : std::exchange(renewals, {}))
       dispatcher.DidRenew(renewal, CommandAnswer::kAccepted, report, now);
--- a/Tests/LibLeaseEntry/command_sender_test.cc
+++ b/Tests/LibLeaseEntry/command_sender_test.cc
@@ -76,4 +76,38 @@
       }));
 }
 
+// Guards against tasks on a worker that has restarted as another kind since its
+// last report: its former process has closed its connections.
+TEST(CommandSender, start_is_not_sent_to_the_next_process_of_a_worker) {
+  HttpServer& worker =
+      *new HttpServer(HttpServerLimits{.idle_timeout = milliseconds(30)},
+                      [&count = requests](HttpRequest&& /*request*/) {
+                        ++count;
+                        return HttpResponse{};
+                      });
+  target.endpoint = boost::leaf::try_handle_all(
+      [&] { return worker.Listen({&thread}, {.ip = 0x7F000001}); },
+      [] { return Endpoint{}; });
+  const Time later = BootClock::now() + std::chrono::seconds(5);
+  const Duration timeout = milliseconds(80);
+  const auto renew = [&] {
+    sender.Renew({.target = target, .send_before = later, .timeout = timeout});
+  };
+  const auto start = [&] {
+    sender.Start({.target = target,
+                  .payload = std::make_shared<std::string>(),
+                  .send_before = later,
+                  .timeout = timeout});
+  };
+  CHECK_EQUAL(1, RequestsAfter(renew));
+  // The connection of the report is closed by now.
+  CHECK_EQUAL(1, RequestsAfter(start));
+  // After the next report, over a connection of the present process.
+  CHECK_EQUAL(3, RequestsAfter([&] {
+                renew();
+                SleepFiber(milliseconds(10));
+                start();
+              }));
+}
+
 }  // namespace mustardbank
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -232,6 +232,52 @@
   CHECK_EQUAL(200, deployment.Call(1, query, kCallerTimeout).status);
 }
 
+// Guards against tasks on a worker that lacks their label, after a restart as
+// another kind. Without the store, its labels stay unknown.
+TEST(LeaseProcess, restarted_worker_gets_tasks_of_its_present_labels_only) {
+  for (const auto& [id, endpoint] : deployment.Workers())
+    deployment.Admin({{"worker", id}, {"label", "b"}});
+  const auto submit = [this](int id, const std::string& label, int wait_ms) {
+    const std::string body =
+        R"({"spec":"1000 50","bestEffort":true,"steps":[{"count":1,"cpu":1000,)"
+        R"("memMb":16,"estimateMs":50,"requires":")" +
+        label + "\"}]}";
+    return deployment
+        .Call(1,
+              {.method = "POST",
+               .target = "/jobs/" + IdOf(id),
+               .headers = {{"Host", "host"},
+                           {"X-Mustardbank-Deadline-Ms",
+                            std::to_string(wait_ms)}},
+               .body = body},
+              milliseconds(wait_ms + 500))
+        .status;
+  };
+  CHECK_EQUAL(200, submit(1, "a", 5000));
+  deployment.Admin({{"store", "refuse"}});
+  for (const auto& [id, endpoint] : deployment.Workers()) {
+    deployment.Admin({{"worker", id}, {"mode", "down"}});
+    deployment.Admin({{"worker", id}, {"mode", "normal"}});
+  }
+  // The stand-in's connections outlive its workers, so that their restart shows
+  // in the next report only.
+  auto end = std::chrono::steady_clock::now() + kReady;
+  while (deployment.Scrape(1).find("mustardbank_workers_unregistered 3") ==
+         std::string::npos)
+    CHECK(std::chrono::steady_clock::now() < end);
+  for (int job = 10; job < 30; ++job) {
+    CHECK(submit(job, "a", 150) != 200);
+    CHECK_EQUAL(0, deployment.StartsOf(IdOf(job)));
+  }
+  deployment.Admin({{"store", "up"}});
+  end = std::chrono::steady_clock::now() + kReady;
+  int job = 100;
+  while (submit(++job, "b", 500) != 200)
+    CHECK(std::chrono::steady_clock::now() < end);
+  CHECK(submit(1000, "a", 300) != 200);
+  CHECK_EQUAL(0, deployment.StartsOf(IdOf(1000)));
+}
+
 // Guards against starts on workers that have begun to leave: a list counted
 // from the arrival of the store's answer, and was sent to other owners as new.
 TEST(LeaseProcess, list_of_workers_counts_from_its_request) {
--- a/Tests/LibLeaseEntry/mutated_messages_test.cc
+++ b/Tests/LibLeaseEntry/mutated_messages_test.cc
@@ -152,8 +152,9 @@
   void AnswerRenewals() {
     control.Tick(now);
     for (const RenewCommand& renewal : std::exchange(renewals, {}))
-      control.dispatcher().DidRenew(renewal, CommandAnswer::kAccepted,
-                                    {.incarnation = 1, .clock_ms = 1000}, now);
+      control.dispatcher().DidRenew(
+          renewal, CommandAnswer::kAccepted,
+          {.incarnation = 1'700'000'000'000, .clock_ms = 1000}, now);
     control.Pump(now);
   }
 
@@ -397,7 +398,7 @@
   CHECK_EQUAL(4, starts.size());
   const StartCommand start = starts[0];
   const std::string recorded =
-      R"({"clockMs":1000,"born":1,"running":[[")" + start.run.task +
+      R"({"clockMs":1000,"born":1700000000000,"running":[[")" + start.run.task +
       R"(",1,"",40],["00000000000000cd.0.0.1",2,"",10]],)"
       R"("capacity":{"cpu":64000,"memMb":1000,"gpu":0},"ended":[)"
       R"([7,"00000000000000cd.0.0.0",1,"done",""]]})";
--- a/Tests/LibLeaseEntry/worker_protocol_test.cc
+++ b/Tests/LibLeaseEntry/worker_protocol_test.cc
@@ -31,14 +31,14 @@
   LeaseDispatcher dispatcher{LeaseTiming{}, log};
   Time now{std::chrono::seconds(100)};
 
-  void Own(std::int64_t millicores) {
+  void Own(std::int64_t millicores, std::uint64_t incarnation = 1) {
     dispatcher.Own(
         {.id = "w",
          .service = "guide",
          .endpoint = {.ip = 0x7F000001, .port = 1},
          .data_center = "rif",
          .capacity = {.millicores = millicores, .memory_mb = 100'000},
-         .incarnation = 1},
+         .incarnation = incarnation},
         kToken, now);
   }
 
@@ -88,6 +88,9 @@
   Own(96'000);
   Renew(ReplyWith(kSmall, 6000, /*born=*/1));
   Renew(ReplyWith(kLarge, 10, /*born=*/2));
+  // It may have restarted as another kind.
+  CHECK_EQUAL(0, Starts("early", 3));
+  Own(96'000, /*incarnation=*/2);
   const std::size_t starts = Starts("job", 3);
   CHECK_EQUAL(3, starts);
 }
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -25,7 +25,9 @@
 //     mode: normal, down (not registered, does not answer), mute (executes
 //       commands but does not answer in time), late (executes commands 2 s
 //       later), or leave; or
-//     address: address under which the worker is registered, such as a proxy
+//     address: address under which the worker is registered, such as a proxy;
+//       or
+//     label: its only label from its next start on
 // GET /admin lists the workers with the addresses on which they listen.
 #include <boost/json.hpp>
 #include <csignal>
@@ -192,6 +194,8 @@
   Endpoint endpoint;
   Endpoint registered;
   std::int64_t millicores = 0;
+  std::string label = "a";
+  std::string next_label = "a";
   WorkerMode mode = WorkerMode::kNormal;
   std::unique_ptr<WorkerModel> model;
   std::unique_ptr<HttpServer> server;
@@ -228,11 +232,18 @@
         continue;
       // A worker that was down restarts without its state.
       if (worker->mode == WorkerMode::kDown && mode != WorkerMode::kDown)
-        worker->model = std::make_unique<WorkerModel>(options_, NowMs());
+        Restart(*worker);
       worker->mode = mode;
     }
   }
 
+  void SetNextLabel(const std::string& id, const std::string& label) {
+    for (const auto& worker : workers_) {
+      if (worker->id == id)
+        worker->next_label = label;
+    }
+  }
+
   void SetAddress(const std::string& id, Endpoint endpoint) {
     for (const auto& worker : workers_) {
       if (worker->id == id)
@@ -264,7 +275,7 @@
           {"coldRemainingMs", 0},
           {"capacity",
            {{"cpu", worker->millicores}, {"memMb", 131072}, {"gpu", 0}}},
-          {"labels", json::array{"a"}},
+          {"labels", json::array{worker->label}},
           {"born", worker->model->started_at() + 1},
           {"clockMs", worker->model->ClockAt(NowMs())},
           {"sequence", ++sequence_}};
@@ -273,6 +284,11 @@
   }
 
  private:
+  void Restart(Worker& worker) {
+    worker.model = std::make_unique<WorkerModel>(options_, NowMs());
+    worker.label = worker.next_label;
+  }
+
   HttpResponse Serve(Worker& worker, const HttpRequest& request) {
     if (worker.mode == WorkerMode::kDown) {
       SleepFiber(kLostAnswerDelay);
@@ -326,7 +342,7 @@
     if (answer == CommandAnswer::kAccepted && !was_running)
       Record(worker, run);
     if (answer == CommandAnswer::kAccepted && outcome == "crash") {
-      worker.model = std::make_unique<WorkerModel>(options_, NowMs());
+      Restart(worker);
       SleepFiber(kLostAnswerDelay);
     }
     return Answer(worker, answer);
@@ -440,6 +456,8 @@
       const std::string id(worker->as_string());
       if (const json::value* mode = body.if_contains("mode"))
         workers_.SetMode(id, kWorkerModes.Find(mode->as_string()).value());
+      if (const json::value* label = body.if_contains("label"))
+        workers_.SetNextLabel(id, std::string(label->as_string()));
       if (const json::value* address = body.if_contains("address"))
         workers_.SetAddress(id, Endpoint::Parse(address->as_string()).value());
       workers_.Register(store_);
