platform: Take no worker from an entry of another writer, and lose none for it

What operators reported: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) made processes end again and again, or stop following the list.

Found: on no such entry ends a process or stops it from following the list (LeaseProcess odd_entries_among_the_workers_change_nothing, up to the check below).

Cause: each decoder on the way of an entry had its own idea of a worker.

Change: FaultOf says whether a registration names a worker to use, for rows and for lists between VMs. Lists of peers keep the entries that can be used. A call that the store refuses as invalid counts as an answer.

--- a/Libraries/LibLease/row_store.h
+++ b/Libraries/LibLease/row_store.h
@@ -43,11 +43,12 @@
   kConflict,     // the row has another version
   kHistoryGone,  // changes since the given version are no longer kept
   kMalformed,    // the answer can't be read
+  kRejected,  // the store answered that the call is invalid; nothing was done
 };
 
-inline constexpr EnumNames<StoreFailure, 6> kStoreFailureNames{
+inline constexpr EnumNames<StoreFailure, 7> kStoreFailureNames{
     {"unavailable", "throttled", "no_answer", "conflict", "history_gone",
-     "malformed"}};
+     "malformed", "rejected"}};
 
 struct StoreError {
   StoreFailure failure = StoreFailure::kUnavailable;
--- a/Libraries/LibLease/worker_report.h
+++ b/Libraries/LibLease/worker_report.h
@@ -51,6 +51,11 @@
   bool operator==(const WorkerEntry&) const = default;
 };
 
+// Returns why a registration names no worker to use, or "" if it does. Others
+// than workers may write among the registrations; their names must not end up
+// in headers, in keys of rows or, however long, in messages between VMs.
+std::string_view FaultOf(const WorkerEntry& entry);
+
 // Identifies one run of a task.
 struct RunId {
   std::string task;
--- a/Libraries/LibLeaseEntry/peer_codec.cc
+++ b/Libraries/LibLeaseEntry/peer_codec.cc
@@ -228,6 +228,18 @@
   return entry;
 }
 
+// Empty if the entry names no worker to use. Earlier builds pass on entries of
+// other writers.
+std::optional<WorkerEntry> ReadWorkerEntry(const json::value& value) {
+  try {
+    WorkerEntry entry = ToWorkerEntry(value.as_object());
+    return FaultOf(entry).empty() ? std::optional(std::move(entry))
+                                  : std::nullopt;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 // `index` is that of the group in its job.
 TaskGroup ToTaskGroup(const json::object& object, std::size_t index) {
   TaskGroup group;
@@ -462,8 +474,13 @@
     shared.list.read_at = now - SpanIn(object, "age_us", {}, kMostOverdue);
     for (const json::value& shard : object.at("shards").as_array())
       shared.shards.push_back(ToShardId(shard.as_object()));
-    for (const json::value& worker : object.at("workers").as_array())
-      shared.list.workers.push_back(ToWorkerEntry(worker.as_object()));
+    // One that can't be used must not hide the others.
+    for (const json::value& worker : object.at("workers").as_array()) {
+      if (auto entry = ReadWorkerEntry(worker))
+        shared.list.workers.push_back(std::move(*entry));
+      else
+        ++shared.unusable;
+    }
     if (object.contains("store_version"))
       shared.list.store_version =
           Integer<std::uint64_t>(object, "store_version");
--- a/Libraries/LibLeaseEntry/peer_codec.h
+++ b/Libraries/LibLeaseEntry/peer_codec.h
@@ -41,6 +41,7 @@
 struct SharedWorkerList {
   WorkerList list;
   std::vector<ShardId> shards;
+  std::size_t unusable = 0;  // entries left out when the list was decoded
   // The newest stamp of the owner that the sender has. Earlier builds send
   // none.
   std::optional<ClockStamp> echo{};
--- a/Libraries/LibLeaseEntry/store_loop.cc
+++ b/Libraries/LibLeaseEntry/store_loop.cc
@@ -101,8 +101,10 @@
 }
 
 void StoreLoop::DidFail(const StoreError& error) {
+  // The store answers; one call that it does not take is no outage.
   if (error.failure == StoreFailure::kConflict ||
-      error.failure == StoreFailure::kHistoryGone) {
+      error.failure == StoreFailure::kHistoryGone ||
+      error.failure == StoreFailure::kRejected) {
     DidAnswer();
     return;
   }
--- a/Libraries/LibLeaseEntry/store_loop_learned.cc
+++ b/Libraries/LibLeaseEntry/store_loop_learned.cc
@@ -108,7 +108,8 @@
     if (written)
       continue;
     // Changes that the store can't read would hold up all later ones.
-    if (written.error().failure == StoreFailure::kMalformed)
+    if (written.error().failure == StoreFailure::kMalformed ||
+        written.error().failure == StoreFailure::kRejected)
       control_.log()
           .Write(LogEvent::kStoreRowUnreadable, BootClock::now(),
                  LogBudget::kState)
--- a/Libraries/LibLeaseEntry/store_loop_workers.cc
+++ b/Libraries/LibLeaseEntry/store_loop_workers.cc
@@ -115,6 +115,11 @@
   // Probes need the workers of other data centres, too.
   if (IsProbing(now))
     return {};
+  if (shared->unusable > 0)
+    control_.log()
+        .Write(LogEvent::kRequestMalformed, now)
+        .Add(LogField::kCount, shared->unusable)
+        .Add(LogField::kReason, "entries of a list of workers from a peer");
   if (control_.SetWorkersOfShards(std::move(*shared), now))
     is_list_partial_ = true;
   control_.Pump(now);
--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -295,6 +295,44 @@
   }
 }
 
+// Guards against VMs that end, or stop following the list, for entries that
+// other writers leave among those of the workers.
+TEST(LeaseProcess, odd_entries_among_the_workers_change_nothing) {
+  namespace json = boost::json;
+  const auto entry = [](const std::string& zone, const std::string& address,
+                        const std::string& born) {
+    return R"({"service":"guide","address":")" + address + R"(","zone":")" +
+           zone + R"(","state":"ready","labels":["a"],"born":)" + born +
+           R"(,"capacity":{"cpu":64000,"memMb":1000}})";
+  };
+  const std::string nested =
+      std::string(20'000, '[') + std::string(20'000, ']');
+  deployment.Admin(
+      {{"entries",
+        {{"w-nested", nested},
+         {"w-born", entry("rif", "127.0.0.1:9", nested.substr(0, 20'000))},
+         {"w-port", entry("rif", "127.0.0.1:99999", "1")},
+         {"w-port0", entry("rif", "127.0.0.1:0", "1")},
+         {"w-number", entry("rif", "127.0.0.1:9", "1e300")},
+         {"w-zone", entry(std::string(30'000, 'z'), "127.0.0.1:9", "1")},
+         {"w-bytes", "{}{}"}}}});
+  // Lists are read each second, and zones of new workers counted over two.
+  std::this_thread::sleep_for(milliseconds(4500));
+  deployment.entry(2).Kill();
+  deployment.StartEntry(2);
+  CHECK(deployment.WaitUntilReady(kReady));
+  for (int i = 0; i < deployment.entry_count(); ++i) {
+    CHECK_EQUAL(
+        200, deployment.Submit(i, IdOf(500 + i), 3, 20'000, 50, kCallerTimeout)
+                 .status);
+    CHECK(!deployment.HasLogged(i, "store_lost", ""));
+    CHECK(!deployment.HasLogged(i, "worker_added", "worker=w-"));
+    CHECK(!deployment.HasLogged(i, "unexpected_error", ""));
+    if (i != 2)
+      CHECK(!deployment.entry(i).Wait(milliseconds(1)));
+  }
+}
+
 TEST(LeaseProcess, entry_serves_while_the_store_is_unavailable) {
   deployment.Admin({{"store", "refuse"}});
   std::this_thread::sleep_for(milliseconds(3000));
--- a/Tests/StandIns/users_platform_stand_in.cc
+++ b/Tests/StandIns/users_platform_stand_in.cc
@@ -28,6 +28,9 @@
 //     address: address under which the worker is registered, such as a proxy;
 //       or
 //     label: its only label from its next start on
+//   entries: object of texts that another writer leaves among the entries of
+//   the
+//     workers, by key
 // GET /admin lists the workers with the addresses on which they listen.
 #include <boost/json.hpp>
 #include <csignal>
@@ -166,6 +169,10 @@
       if (version != condition.at("rowVersion").to_number<std::uint64_t>())
         return ToResponse(412, {{"rows", json::array()}});
     }
+    for (const json::value& upsert : body.at("upserts").as_array()) {
+      if (!IsWithinLimits(upsert))
+        return ToResponse(400, {{"reason", "key or value too long"}});
+    }
     for (const json::value& upsert : body.at("upserts").as_array()) {
       const auto& [table, key] = NameOf(upsert);
       Put(table, key, std::string(upsert.at("value").as_string()));
@@ -179,6 +186,12 @@
     return ToResponse(200, {{"rowVersion", version_}, {"nowMs", NowMs()}});
   }
 
+  static bool IsWithinLimits(const json::value& row) {
+    return row.at("key").as_string().size() <= 200 &&
+           row.at("table").as_string().size() <= 200 &&
+           row.at("value").as_string().size() <= 65'536;
+  }
+
   static std::pair<std::string, std::string> NameOf(const json::value& row) {
     return {std::string(row.at("table").as_string()),
             std::string(row.at("key").as_string())};
@@ -446,6 +459,10 @@
     const json::object body = ParseObject(request.body);
     if (const json::value* configuration = body.if_contains("configuration"))
       store_.Put("op", "config", EncodeBase64(json::serialize(*configuration)));
+    if (const json::value* entries = body.if_contains("entries")) {
+      for (const auto& [key, text] : entries->as_object())
+        store_.Put("servers", key, EncodeBase64(std::string(text.as_string())));
+    }
     if (const json::value* data_center = body.if_contains("evacuate"))
       store_.Put("op", EvacuationKey(*data_center), EncodeBase64("{}"));
     if (const json::value* data_center = body.if_contains("withdraw"))
