--- a/Tests/Harness/lease_deployment.cc
+++ b/Tests/Harness/lease_deployment.cc
@@ -70,7 +70,8 @@
       readiness_(options_.entries),
       metrics_(options_.entries),
       peers_(options_.entries),
-      store_routes_(options_.entries) {
+      store_routes_(options_.entries),
+      starts_(options_.entries) {
   char folder[] = "/tmp/mustardbank-lease-XXXXXX";
   folder_ = ::mkdtemp(folder);
   json::object plan = options_.plan;
@@ -91,6 +92,12 @@
 
 LeaseDeployment::~LeaseDeployment() = default;
 
+std::string LeaseDeployment::BinaryOf(int entry, int start) const {
+  const bool is_earlier =
+      !options_.earlier_binary.empty() && (entry + start) % 2 == 1;
+  return is_earlier ? options_.earlier_binary : MUSTARDBANK_BINARY;
+}
+
 std::string LeaseDeployment::EntryLog(int entry) const {
   return folder_ + "/entry" + std::to_string(entry) + ".log";
 }
@@ -125,7 +132,7 @@
   WriteSettings(index, {});
   entries_[index].reset();
   entries_[index] = std::make_unique<ChildProcess>(
-      std::vector<std::string>{MUSTARDBANK_BINARY, "lease-entry",
+      std::vector<std::string>{BinaryOf(index, starts_[index]++), "lease-entry",
                                SettingsFile(index)},
       folder_ + '/' + name + ".err", EntryLog(index), kStartTimeout);
   const std::string& line = entries_[index]->first_line();
--- a/Tests/Harness/lease_deployment.h
+++ b/Tests/Harness/lease_deployment.h
@@ -21,6 +21,9 @@
   std::int64_t millicores = 64'000;
   // Additional members of the stand-in's plan.
   boost::json::object plan{};
+  // Binary of an earlier build, or "". Each start of an entry changes its
+  // build; half of them start with the earlier one.
+  std::string earlier_binary{};
   // Additional settings of each entry.
   boost::json::object settings{};
 };
@@ -92,6 +95,7 @@
   const std::string& folder() const { return folder_; }
 
  private:
+  std::string BinaryOf(int entry, int start) const;
   std::string EntryLog(int entry) const;
   std::string SettingsFile(int entry) const;
 
@@ -105,6 +109,7 @@
   std::vector<Endpoint> metrics_;
   std::vector<Endpoint> peers_;
   std::vector<Endpoint> store_routes_;
+  std::vector<int> starts_;
 };
 
 }  // namespace mustardbank
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -30,7 +30,7 @@
 
 Usage:
   soak [--seed=N] [--seconds=S] [--entries=N] [--workers=N] [--callers=N]
-       [--break=NAME]
+       [--break=NAME] [--earlier=BINARY]
 
 Options:
   --seed=N      Seed of the schedule [default: 1].
@@ -41,6 +41,8 @@
   --break=NAME  Disable a mechanism, to show that the checks detect it: clocks
                 (workers' clocks run at half speed) or tokens (workers
                 ignore fencing tokens).
+  --earlier=BINARY  An earlier build, which runs beside this one: each start of
+                an entry changes its build.
 
 Prints a JSON object; exits 1 if a check failed.
 )";
@@ -391,6 +393,8 @@
       return 64;
     }
   }
+  if (const docopt::value& binary = arguments.at("--earlier"))
+    options.earlier_binary = binary.asString();
   Soak soak(static_cast<unsigned>(number("--seed")),
             std::chrono::seconds(number("--seconds")), options,
             number("--callers"));
