LibLeaseEntry: Trust the connection of the last report when a start needs a new one

Workers may close idle connections by themselves. A start that found one closed was put off until the next report, though the connection of the last report was open and showed that its process lives. A list of workers that is ignored, since a newer one is known, no longer counts as a complete one for probes.

--- a/Libraries/LibLeaseEntry/command_sender.cc
+++ b/Libraries/LibLeaseEntry/command_sender.cc
@@ -52,14 +52,13 @@
 HttpResult<std::unique_ptr<HttpConnection>> CommandSender::AcquireForStart(
     Endpoint worker) {
   bool was_closed = false;
-  if (auto connection = pool_.TakeIdle(worker, was_closed);
-      connection && !was_closed)
+  if (auto connection = pool_.TakeIdle(worker, was_closed))
     return connection;
-  // The connection of the last report tells whether its process still lives.
-  if (auto witness = renew_pool_.TakeIdle(worker, was_closed))
+  // While the connection of the last report is open, its process lives. Workers
+  // may close others that are idle.
+  if (auto witness = renew_pool_.TakeIdle(worker, was_closed)) {
     renew_pool_.Release(worker, std::move(witness));
-  if (was_closed) {
-    pool_.Forget(worker);
+  } else if (was_closed) {
     return HttpError{.failure = HttpFailure::kNotSent,
                      .reason = "the worker has closed its connections"};
   }
--- a/Libraries/LibLeaseEntry/lease_control.cc
+++ b/Libraries/LibLeaseEntry/lease_control.cc
@@ -43,10 +43,12 @@
 
 }  // namespace
 
-void LeaseControl::SetWorkers(WorkerList list, Time now) {
+bool LeaseControl::SetWorkers(WorkerList list, Time now) {
   ownership_.NoticePause(now);
-  if (!IsOutdated(list))
-    ReplaceWorkers(std::move(list), now);
+  if (IsOutdated(list))
+    return false;
+  ReplaceWorkers(std::move(list), now);
+  return true;
 }
 
 bool LeaseControl::SetWorkersOfShards(SharedWorkerList shared, Time now) {
--- a/Libraries/LibLeaseEntry/lease_control.h
+++ b/Libraries/LibLeaseEntry/lease_control.h
@@ -48,9 +48,9 @@
 
   // Events. The caller calls `Pump` after a batch of them; `Tick` and `Leave`
   // do so themselves.
-  // Ignored if a list read later is known, since an answer of the store may be
-  // late.
-  void SetWorkers(WorkerList list, Time now);
+  // Returns whether the list was taken: not if one read later is known, since
+  // an answer of the store may be late.
+  bool SetWorkers(WorkerList list, Time now);
   // Takes the workers of all shards that this VM owns, which another VM read.
   // Returns whether it did: not if shards are missing, if a list read later is
   // known, or if the age of the list has no bound.
--- a/Libraries/LibLeaseEntry/store_loop_workers.cc
+++ b/Libraries/LibLeaseEntry/store_loop_workers.cc
@@ -147,11 +147,11 @@
     cache[row.key] = std::move(cached);
   }
   cache_ = std::move(cache);
-  is_list_partial_ = false;
-  control_.SetWorkers({.workers = std::move(workers),
-                       .store_version = page->version,
-                       .read_at = page->requested},
-                      now);
+  if (control_.SetWorkers({.workers = std::move(workers),
+                           .store_version = page->version,
+                           .read_at = page->requested},
+                          now))
+    is_list_partial_ = false;
   control_.Pump(now);
   InitializeShardCounts(now);
   return true;
