Tests: Await the restart of all workers at all owners

It waited until entry 1 had noticed the restart of its three workers, while a job may be forwarded to the owner of the other three, which had not polled them yet. The stand-in restarts its workers without closing their connections, unlike a process that ends, so that nothing else shows the restart. Ruled out: a registration that was read meanwhile, as the store refuses all calls in that part.

Change: the test waits until the owners together count all workers as unregistered. What it checks is the same, and now holds for all six workers.

--- a/Tests/LibLeaseEntry/lease_process_test.cc
+++ b/Tests/LibLeaseEntry/lease_process_test.cc
@@ -259,11 +259,22 @@
     deployment.Admin({{"worker", id}, {"mode", "down"}});
     deployment.Admin({{"worker", id}, {"mode", "normal"}});
   }
-  // The stand-in's connections outlive its workers, so that their restart shows
-  // in the next report only.
+  // The stand-in's connections outlive its workers, so that a restart shows in
+  // the next report only. All owners must have noticed it: any may get a job.
+  const std::string name = "\nmustardbank_workers_unregistered ";
+  const auto unregistered = [&] {
+    double workers = 0;
+    for (int i = 0; i < deployment.entry_count(); ++i) {
+      const std::string metrics = deployment.Scrape(i);
+      const std::size_t at = metrics.find(name);
+      workers += at == std::string::npos
+                     ? 0
+                     : std::stod(metrics.substr(at + name.size()));
+    }
+    return workers;
+  };
   auto end = std::chrono::steady_clock::now() + kReady;
-  while (deployment.Scrape(1).find("mustardbank_workers_unregistered 3") ==
-         std::string::npos)
+  while (unregistered() < static_cast<double>(deployment.Workers().size()))
     CHECK(std::chrono::steady_clock::now() < end);
   for (int job = 10; job < 30; ++job) {
     CHECK(submit(job, "a", 150) != 200);
